--- /dev/null
+++ b/internal/standin/keyvalue.go
@@ -0,0 +1,342 @@
+// Package standin has small stand-ins for the platform's systems and for backend
+// servers. They are for tests, the demo and benchmarks, and show the faults that
+// the real systems have; they are not a simulator of a cluster.
+package standin
+
+import (
+	"context"
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"apricotbridge/internal/keyvalue"
+)
+
+// Faults are the faults of the key-value service in force.
+type Faults struct {
+	// Down refuses each call; the call has no effect.
+	Down bool
+	// LoseAnswers is the share of writes whose answer is lost after they took
+	// effect.
+	LoseAnswers float64
+	// Latency is added to each call.
+	Latency time.Duration
+	// WritesPerSecond and ReadsPerSecond bound the rates; 0 means no bound. Calls
+	// over a rate are refused.
+	WritesPerSecond, ReadsPerSecond float64
+}
+
+type storedLease struct {
+	ttl  time.Duration
+	ends time.Time
+}
+
+// KeyValue is an in-memory key-value service. Set the exported fields before the
+// first call.
+type KeyValue struct {
+	// Now gives the time, so that tests bring their own.
+	Now func() time.Time
+	// Rand decides which answers are lost.
+	Rand *rand.Rand
+
+	mu       sync.Mutex
+	revision int64
+	entries  map[string]keyvalue.Entry
+	changes  []keyvalue.Entry
+	leases   map[string]storedLease
+	faults   Faults
+	changed  chan struct{}
+	writes   bucket
+	reads    bucket
+	counts   Counts
+}
+
+// Counts are the calls that the service has taken.
+type Counts struct {
+	Reads, Writes, Watches, Refused, Bytes int64
+}
+
+// bucket is a token bucket that holds one second's worth.
+type bucket struct {
+	tokens float64
+	at     time.Time
+}
+
+func (b *bucket) take(now time.Time, rate float64) bool {
+	if rate <= 0 {
+		return true
+	}
+	if b.at.IsZero() {
+		b.tokens = rate
+	} else {
+		b.tokens = min(rate, b.tokens+rate*now.Sub(b.at).Seconds())
+	}
+	b.at = now
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// NewKeyValue returns an empty service on the wall clock.
+func NewKeyValue(seed uint64) *KeyValue {
+	return &KeyValue{Now: time.Now, Rand: rand.New(rand.NewPCG(seed, 1))}
+}
+
+// SetFaults replaces the faults in force.
+func (k *KeyValue) SetFaults(f Faults) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.faults = f
+	k.wake()
+}
+
+// Counts returns the calls taken so far.
+func (k *KeyValue) Counts() Counts {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.counts
+}
+
+func (k *KeyValue) wake() {
+	if k.changed != nil {
+		close(k.changed)
+	}
+	k.changed = make(chan struct{})
+}
+
+// begin waits for the latency, takes the lock and lets leases lapse. The caller
+// unlocks when it returns nil.
+func (k *KeyValue) begin(ctx context.Context, write bool) error {
+	k.mu.Lock()
+	latency := k.faults.Latency
+	k.mu.Unlock()
+	if latency > 0 {
+		select {
+		case <-time.After(latency):
+		case <-ctx.Done():
+			return keyvalue.ErrUnavailable
+		}
+	}
+	k.mu.Lock()
+	if k.entries == nil {
+		k.entries = map[string]keyvalue.Entry{}
+		k.leases = map[string]storedLease{}
+	}
+	if k.changed == nil {
+		k.changed = make(chan struct{})
+	}
+	now := k.Now()
+	k.lapse(now)
+	ok := !k.faults.Down
+	if ok && write {
+		ok = k.writes.take(now, k.faults.WritesPerSecond)
+	} else if ok {
+		ok = k.reads.take(now, k.faults.ReadsPerSecond)
+	}
+	if !ok {
+		k.counts.Refused++
+		k.mu.Unlock()
+		return keyvalue.ErrUnavailable
+	}
+	if write {
+		k.counts.Writes++
+	} else {
+		k.counts.Reads++
+	}
+	return nil
+}
+
+// lapse ends the leases whose time is over and the keys bound to them. A service
+// that is down lets leases lapse as well.
+func (k *KeyValue) lapse(now time.Time) {
+	for name, l := range k.leases {
+		if now.Before(l.ends) {
+			continue
+		}
+		delete(k.leases, name)
+		for key, e := range k.entries {
+			if e.Lease == name {
+				k.remove(key)
+			}
+		}
+	}
+}
+
+func (k *KeyValue) remove(key string) {
+	k.revision++
+	delete(k.entries, key)
+	k.changes = append(k.changes, keyvalue.Entry{Key: key, Revision: k.revision, Deleted: true})
+	k.wake()
+}
+
+// written returns the result of a write that took effect, or ErrUnknown when its
+// answer is lost.
+func (k *KeyValue) written() error {
+	if k.faults.LoseAnswers > 0 && k.Rand.Float64() < k.faults.LoseAnswers {
+		return keyvalue.ErrUnknown
+	}
+	return nil
+}
+
+// Get returns the entry of key.
+func (k *KeyValue) Get(ctx context.Context, key string) (keyvalue.Entry, error) {
+	if err := k.begin(ctx, false); err != nil {
+		return keyvalue.Entry{}, err
+	}
+	defer k.mu.Unlock()
+	e, ok := k.entries[key]
+	if !ok {
+		return keyvalue.Entry{}, keyvalue.ErrNotFound
+	}
+	k.counts.Bytes += int64(len(e.Value))
+	return e, nil
+}
+
+// List returns the entries whose keys start with prefix, in key order.
+func (k *KeyValue) List(ctx context.Context, prefix string) ([]keyvalue.Entry, int64, error) {
+	if err := k.begin(ctx, false); err != nil {
+		return nil, 0, err
+	}
+	defer k.mu.Unlock()
+	var found []keyvalue.Entry
+	for key, e := range k.entries {
+		if strings.HasPrefix(key, prefix) {
+			found = append(found, e)
+			k.counts.Bytes += int64(len(e.Value))
+		}
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].Key < found[j].Key })
+	return found, k.revision, nil
+}
+
+// CompareAndSwap writes value when the key is at revision.
+func (k *KeyValue) CompareAndSwap(ctx context.Context, key string, value []byte, revision int64, lease string) (keyvalue.Entry, error) {
+	if len(value) > keyvalue.MaxValueBytes {
+		return keyvalue.Entry{}, keyvalue.ErrTooLarge
+	}
+	if err := k.begin(ctx, true); err != nil {
+		return keyvalue.Entry{}, err
+	}
+	defer k.mu.Unlock()
+	current, ok := k.entries[key]
+	if current.Revision != revision {
+		if !ok {
+			current.Key = key
+		}
+		return keyvalue.Entry{}, &keyvalue.ConflictError{Current: current}
+	}
+	if lease != "" {
+		if _, ok := k.leases[lease]; !ok {
+			return keyvalue.Entry{}, keyvalue.ErrLeaseLapsed
+		}
+	}
+	k.revision++
+	e := keyvalue.Entry{Key: key, Value: append([]byte(nil), value...), Revision: k.revision, Lease: lease}
+	k.entries[key] = e
+	k.changes = append(k.changes, e)
+	k.counts.Bytes += int64(len(value))
+	k.trim()
+	k.wake()
+	return e, k.written()
+}
+
+// trim bounds the changes kept for watches. A watch from before them gets the
+// whole prefix.
+func (k *KeyValue) trim() {
+	const keptChanges = 4096
+	if len(k.changes) > 2*keptChanges {
+		k.changes = append([]keyvalue.Entry(nil), k.changes[len(k.changes)-keptChanges:]...)
+	}
+}
+
+// Delete removes key when it is at revision.
+func (k *KeyValue) Delete(ctx context.Context, key string, revision int64) error {
+	if err := k.begin(ctx, true); err != nil {
+		return err
+	}
+	defer k.mu.Unlock()
+	current, ok := k.entries[key]
+	if !ok {
+		return keyvalue.ErrNotFound
+	}
+	if current.Revision != revision {
+		return &keyvalue.ConflictError{Current: current}
+	}
+	k.remove(key)
+	return k.written()
+}
+
+// Grant creates a lease or renews it when it exists.
+func (k *KeyValue) Grant(ctx context.Context, lease string, ttl time.Duration) error {
+	if err := k.begin(ctx, true); err != nil {
+		return err
+	}
+	defer k.mu.Unlock()
+	k.leases[lease] = storedLease{ttl: ttl, ends: k.Now().Add(ttl)}
+	return k.written()
+}
+
+// Renew extends a lease by its time to live.
+func (k *KeyValue) Renew(ctx context.Context, lease string) error {
+	if err := k.begin(ctx, true); err != nil {
+		return err
+	}
+	defer k.mu.Unlock()
+	l, ok := k.leases[lease]
+	if !ok {
+		return keyvalue.ErrLeaseLapsed
+	}
+	l.ends = k.Now().Add(l.ttl)
+	k.leases[lease] = l
+	return k.written()
+}
+
+// Watch returns the changes of keys with prefix after the given revision. It
+// waits until there is one or the context ends, which is not an error.
+func (k *KeyValue) Watch(ctx context.Context, prefix string, after int64) ([]keyvalue.Entry, int64, error) {
+	k.mu.Lock()
+	k.counts.Watches++
+	k.mu.Unlock()
+	for {
+		if err := k.begin(ctx, false); err != nil {
+			return nil, after, err
+		}
+		found := k.since(prefix, after)
+		revision, changed := k.revision, k.changed
+		k.mu.Unlock()
+		if len(found) > 0 {
+			return found, revision, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, revision, nil
+		}
+	}
+}
+
+func (k *KeyValue) since(prefix string, after int64) []keyvalue.Entry {
+	latest := map[string]keyvalue.Entry{}
+	if len(k.changes) > 0 && after+1 < k.changes[0].Revision {
+		for key, e := range k.entries {
+			latest[key] = e
+		}
+	}
+	for _, e := range k.changes {
+		if e.Revision > after {
+			latest[e.Key] = e
+		}
+	}
+	var found []keyvalue.Entry
+	for key, e := range latest {
+		if strings.HasPrefix(key, prefix) && e.Revision > after {
+			found = append(found, e)
+		}
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].Revision < found[j].Revision })
+	return found
+}
--- /dev/null
+++ b/pkg/problem/problem.go
@@ -0,0 +1,175 @@
+// Package problem holds the closed list of error kinds and the one table that
+// turns a kind into an answer. Answers are problem details as in RFC 9457, with
+// extension members in Pascal case.
+package problem
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Kind names an error that callers and daemons act on.
+type Kind string
+
+// The closed list of error kinds.
+const (
+	BadRequest          Kind = "BadRequest"
+	UnknownModel        Kind = "UnknownModel"
+	UnknownService      Kind = "UnknownService"
+	NotFound            Kind = "NotFound"
+	MethodNotAllowed    Kind = "MethodNotAllowed"
+	BodyTooLarge        Kind = "BodyTooLarge"
+	HeadersTooLarge     Kind = "HeadersTooLarge"
+	KeyTooLong          Kind = "KeyTooLong"
+	Unauthorized        Kind = "Unauthorized"
+	Forbidden           Kind = "Forbidden"
+	KeyReused           Kind = "KeyReused"
+	Overloaded          Kind = "Overloaded"
+	DeadlineUnreachable Kind = "DeadlineUnreachable"
+	Draining            Kind = "Draining"
+	LedgerUnavailable   Kind = "LedgerUnavailable"
+	NoCapacity          Kind = "NoCapacity"
+	Poisonous           Kind = "Poisonous"
+	OutcomeUnknown      Kind = "OutcomeUnknown"
+	BackendFailed       Kind = "BackendFailed"
+	Internal            Kind = "Internal"
+)
+
+// Ran says whether the request ran at a backend server.
+type Ran string
+
+// Whether a request ran.
+const (
+	NotRun  Ran = "NotRun"
+	HasRun  Ran = "Ran"
+	Unknown Ran = "Unknown"
+)
+
+// Row is the line of the table for one kind.
+type Row struct {
+	Kind   Kind
+	Status int
+	Title  string
+	// Ran is what the kind says of the request.
+	Ran Ran
+	// ComeBack says whether the same request may be sent again later.
+	ComeBack bool
+}
+
+// Table has one row for each kind.
+var Table = []Row{
+	{BadRequest, http.StatusBadRequest, "Malformed request", NotRun, false},
+	{UnknownModel, http.StatusNotFound, "Unknown model", NotRun, false},
+	{UnknownService, http.StatusNotFound, "Unknown service", NotRun, false},
+	{NotFound, http.StatusNotFound, "Not found", NotRun, false},
+	{MethodNotAllowed, http.StatusMethodNotAllowed, "Method not allowed", NotRun, false},
+	{BodyTooLarge, http.StatusRequestEntityTooLarge, "Body too large", NotRun, false},
+	{HeadersTooLarge, http.StatusRequestHeaderFieldsTooLarge, "Headers too large", NotRun, false},
+	{KeyTooLong, http.StatusBadRequest, "Idempotency key too long", NotRun, false},
+	{Unauthorized, http.StatusUnauthorized, "Unknown credential", NotRun, false},
+	{Forbidden, http.StatusForbidden, "Not allowed to this organisation", NotRun, false},
+	{KeyReused, http.StatusUnprocessableEntity, "Idempotency key used with another request", NotRun, false},
+	{Overloaded, http.StatusTooManyRequests, "Too much work waiting", NotRun, true},
+	{DeadlineUnreachable, http.StatusServiceUnavailable, "Deadline cannot be met", NotRun, true},
+	{Draining, http.StatusServiceUnavailable, "Entry is leaving", NotRun, true},
+	{LedgerUnavailable, http.StatusServiceUnavailable, "Order cannot be recorded", NotRun, true},
+	{NoCapacity, http.StatusServiceUnavailable, "No backend server", NotRun, true},
+	{Poisonous, http.StatusUnprocessableEntity, "Request crashes backend servers", HasRun, false},
+	{OutcomeUnknown, http.StatusGatewayTimeout, "Outcome unknown, not repeated", Unknown, false},
+	{BackendFailed, http.StatusBadGateway, "Backend server failed", HasRun, false},
+	{Internal, http.StatusInternalServerError, "Internal error", Unknown, false},
+}
+
+var rows = func() map[Kind]Row {
+	m := make(map[Kind]Row, len(Table))
+	for _, row := range Table {
+		m[row.Kind] = row
+	}
+	return m
+}()
+
+// Of returns the row of a kind; a kind outside the list is Internal.
+func Of(kind Kind) Row {
+	if row, ok := rows[kind]; ok {
+		return row
+	}
+	return rows[Internal]
+}
+
+// Problem is an error answer.
+type Problem struct {
+	Kind   Kind
+	Detail string
+	// RetryAfter is how long the caller should wait; zero means at once where
+	// the kind allows to come back.
+	RetryAfter time.Duration
+	// RequestID names the request in logs.
+	RequestID string
+	// Entries are addresses to use instead.
+	Entries []string
+}
+
+// New returns a problem of the given kind.
+func New(kind Kind, format string, args ...any) *Problem {
+	return &Problem{Kind: kind, Detail: fmt.Sprintf(format, args...)}
+}
+
+// Error returns the kind with its detail.
+func (p *Problem) Error() string { return string(p.Kind) + ": " + p.Detail }
+
+// body is the JSON form. The members without Pascal case are those of RFC 9457.
+type body struct {
+	Type       string   `json:"type"`
+	Title      string   `json:"title"`
+	Status     int      `json:"status"`
+	Detail     string   `json:"detail,omitempty"`
+	Kind       Kind     `json:"Kind"`
+	Ran        Ran      `json:"Ran"`
+	ComeBack   bool     `json:"ComeBack"`
+	RetryAfter float64  `json:"RetryAfterSeconds,omitempty"`
+	RequestID  string   `json:"RequestID,omitempty"`
+	Entries    []string `json:"Entries,omitempty"`
+}
+
+// MarshalJSON returns the problem details.
+func (p *Problem) MarshalJSON() ([]byte, error) {
+	row := Of(p.Kind)
+	return json.Marshal(body{
+		Type: "urn:apricotbridge:problem:" + string(row.Kind), Title: row.Title, Status: row.Status,
+		Detail: p.Detail, Kind: row.Kind, Ran: row.Ran, ComeBack: row.ComeBack,
+		RetryAfter: p.RetryAfter.Seconds(), RequestID: p.RequestID, Entries: p.Entries,
+	})
+}
+
+// UnmarshalJSON reads problem details.
+func (p *Problem) UnmarshalJSON(data []byte) error {
+	var b body
+	if err := json.Unmarshal(data, &b); err != nil {
+		return err
+	}
+	*p = Problem{
+		Kind: b.Kind, Detail: b.Detail, RetryAfter: time.Duration(b.RetryAfter * float64(time.Second)),
+		RequestID: b.RequestID, Entries: b.Entries,
+	}
+	return nil
+}
+
+// Write sends the problem as the answer to a request.
+func (p *Problem) Write(w http.ResponseWriter) {
+	row := Of(p.Kind)
+	data, err := json.Marshal(p)
+	if err != nil { // Strings and numbers always encode.
+		data = []byte("{}")
+	}
+	w.Header().Set("Content-Type", "application/problem+json")
+	if row.ComeBack {
+		// Retry-After has whole seconds (RFC 9110), so the exact span is in the body.
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(p.RetryAfter.Seconds()))))
+	}
+	w.WriteHeader(row.Status)
+	_, _ = w.Write(data) // A caller that has gone needs no answer.
+}
