--- /dev/null
+++ b/internal/standin/service.go
@@ -0,0 +1,94 @@
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Run is one run of an order at a plain service.
+type Run struct {
+	Key  string    `json:"Key"`
+	Body string    `json:"Body"`
+	At   time.Time `json:"At"`
+	// Number counts the runs at this service from 1.
+	Number int `json:"Number"`
+}
+
+// Service is a stand-in of a plain order service that records each run. Set the
+// exported fields before the first call.
+type Service struct {
+	// Latency is the time that an order takes.
+	Latency time.Duration
+	// Ledger is shared by the backend servers of one service, as their database.
+	Ledger *Runs
+	// Drop cuts the connection instead of answering when it returns true.
+	Drop func() bool
+}
+
+// Runs is the record that the backend servers of one plain service share.
+type Runs struct {
+	mu   sync.Mutex
+	runs []Run
+}
+
+// Add records a run.
+func (r *Runs) Add(key, body string) Run {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	run := Run{Key: key, Body: body, At: time.Now(), Number: len(r.runs) + 1}
+	r.runs = append(r.runs, run)
+	return run
+}
+
+// All returns the runs so far.
+func (r *Runs) All() []Run {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Run(nil), r.runs...)
+}
+
+func (r *Runs) find(key string) (Run, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, run := range r.runs {
+		if run.Key == key {
+			return run, true
+		}
+	}
+	return Run{}, false
+}
+
+// Handler serves POST /orders, GET /orders/{key}, GET /runs and GET /catalogue.
+func (s *Service) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /orders", func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return // The caller is gone.
+		}
+		run := s.Ledger.Add(r.Header.Get("Idempotency-Key"), string(body))
+		time.Sleep(s.Latency)
+		if s.Drop != nil && s.Drop() {
+			panic(http.ErrAbortHandler) // Closes the connection without an answer.
+		}
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(http.StatusCreated)
+		_ = json.NewEncoder(w).Encode(run) // A caller that has gone needs no answer.
+	})
+	mux.HandleFunc("GET /orders/{key}", func(w http.ResponseWriter, r *http.Request) {
+		run, ok := s.Ledger.find(r.PathValue("key"))
+		if !ok {
+			http.NotFound(w, r)
+			return
+		}
+		reply(w, run, nil)
+	})
+	mux.HandleFunc("GET /runs", func(w http.ResponseWriter, _ *http.Request) { reply(w, s.Ledger.All(), nil) })
+	mux.HandleFunc("GET /catalogue", func(w http.ResponseWriter, _ *http.Request) {
+		reply(w, map[string]any{"Items": []string{"lavender sachet", "sukuti"}}, nil)
+	})
+	return mux
+}
