entry, cmd: serve the first requests end to end

Separate processes for the key-value stand-in, the instance list, two engines, a plain service and two daemons: the configuration is read from the key-value service, entries are listed, a streamed completion, a chat completion and an order are served, and each routing decision has its log line.

Ruled out: Server.Shutdown of net/http for the drain, because it closes the port at once and a caller with an older list would find it closed instead of being told where to go.

Not yet: ledger, admission, peers, resume across daemons.

--- /dev/null
+++ b/cmd/apricotbridge/main.go
@@ -0,0 +1,56 @@
+// Command apricotbridge is the daemon between callers and backend servers, and
+// the tools of its operators.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+)
+
+// Exit codes.
+const (
+	exitFault       = 1
+	exitUsage       = 2
+	exitUnavailable = 3
+)
+
+// exitError carries an exit code with an error.
+type exitError struct {
+	code int
+	err  error
+}
+
+func (e *exitError) Error() string { return e.err.Error() }
+
+func (e *exitError) Unwrap() error { return e.err }
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	root := newRoot()
+	root.SetArgs(args)
+	err := root.ExecuteContext(ctx)
+	if err == nil {
+		return 0
+	}
+	fmt.Fprintln(os.Stderr, "apricotbridge:", err)
+	return exitCode(err)
+}
+
+func newRoot() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "apricotbridge",
+		Short:         "Serve models and order services on reclaimable instances",
+		SilenceErrors: true,
+		SilenceUsage:  true,
+	}
+	root.AddCommand(newServe(), newStandin())
+	return root
+}
--- /dev/null
+++ b/cmd/apricotbridge/standin.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/spf13/cobra"
+
+	"apricotbridge/internal/instances"
+	"apricotbridge/internal/standin"
+)
+
+func newStandin() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "standin",
+		Short: "Run a stand-in of an outside system, for trying and tests",
+		Example: `  apricotbridge standin key-value --listen 127.0.0.1:7100
+  apricotbridge standin instances --listen 127.0.0.1:7101
+  apricotbridge standin engine --listen 127.0.0.1:7200 --id e1 --service sahayak-llm --place asan --region bagmati --instances http://127.0.0.1:7101`,
+	}
+	c.AddCommand(
+		standinCommand("key-value", "Run a stand-in of the key-value service", func(instances.Instance) http.Handler {
+			return standin.NewKeyValue(1).Handler()
+		}),
+		standinCommand("instances", "Run a stand-in of the instance list", func(instances.Instance) http.Handler {
+			return standin.NewInstances().Handler()
+		}),
+		standinCommand("engine", "Run a stand-in of a model engine", func(instances.Instance) http.Handler {
+			e := &standin.Engine{
+				Slots: 8, TokenTime: 10 * time.Millisecond, PrefillTime: 20 * time.Microsecond,
+				CacheTokens: 1 << 16, ReportLag: time.Second, DropEvents: 10,
+				Crash: func() { os.Exit(exitFault) },
+			}
+			return e.Handler()
+		}),
+		standinCommand("service", "Run a stand-in of a plain order service", func(instances.Instance) http.Handler {
+			s := &standin.Service{Latency: 5 * time.Millisecond, Ledger: &standin.Runs{}}
+			return s.Handler()
+		}),
+	)
+	return c
+}
+
+// standinCommand returns a command that serves a stand-in and, when it is a
+// backend server, enters it in the instance list.
+func standinCommand(use, short string, handler func(instances.Instance) http.Handler) *cobra.Command {
+	var listen, list string
+	var i instances.Instance
+	c := &cobra.Command{
+		Use: use, Short: short, Args: cobra.NoArgs,
+		Example: "  apricotbridge standin " + use + " --listen 127.0.0.1:7100",
+		RunE: func(c *cobra.Command, _ []string) error {
+			l, err := net.Listen("tcp", listen)
+			if err != nil {
+				return fault(err)
+			}
+			fmt.Fprintln(c.OutOrStdout(), l.Addr()) // Lets a script start it on port 0.
+			if list != "" {
+				i.Address, i.Incarnation = l.Addr().String(), time.Now().UnixNano()
+				if err := enter(c.Context(), list, i); err != nil {
+					return unavailable(err)
+				}
+			}
+			return serveStandin(c.Context(), l, handler(i))
+		},
+	}
+	f := c.Flags()
+	f.StringVar(&listen, "listen", "127.0.0.1:0", "address to listen on")
+	f.StringVar(&list, "instances", "", "base URL of the instance list stand-in to enter this server in")
+	f.StringVar(&i.ID, "id", "", "id of this instance")
+	f.StringVar(&i.Service, "service", "", "service that it runs")
+	f.StringVar(&i.Place, "place", "", "place where it runs")
+	f.StringVar(&i.Region, "region", "", "region where it runs")
+	f.StringVar(&i.Class, "class", "", "machine class")
+	return c
+}
+
+func serveStandin(ctx context.Context, l net.Listener, h http.Handler) error {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	ended := make(chan error, 1)
+	go func() { ended <- s.Serve(l) }()
+	select {
+	case err := <-ended:
+		return fault(err)
+	case <-ctx.Done():
+		return s.Close()
+	}
+}
+
+// enter puts an instance on the list of the stand-in.
+func enter(ctx context.Context, list string, i instances.Instance) error {
+	body, err := json.Marshal(i)
+	if err != nil {
+		return errors.Annotate(err, "encode instance")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, list+"/instances", bytes.NewReader(body))
+	if err != nil {
+		return errors.Annotate(err, "build call to the instance list")
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return errors.Annotate(err, "enter instance")
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return errors.Errorf("instance list answered status %d", res.StatusCode)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/entry/drain.go
@@ -0,0 +1,78 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// activity counts the requests that callers wait for.
+type activity struct {
+	mu    sync.Mutex
+	count int
+	idle  chan struct{}
+}
+
+func (a *activity) begin() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.count++
+}
+
+func (a *activity) end() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.count--
+	if a.count == 0 && a.idle != nil {
+		close(a.idle)
+		a.idle = nil
+	}
+}
+
+// empty returns a channel that is closed when no request is active.
+func (a *activity) empty() <-chan struct{} {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	closed := make(chan struct{})
+	if a.count == 0 {
+		close(closed)
+		return closed
+	}
+	if a.idle == nil {
+		a.idle = make(chan struct{})
+	}
+	return a.idle
+}
+
+// settle is how long a draining daemon goes on to answer, so that callers which
+// hold an older list of entries are told where to go instead of finding a closed
+// port.
+const settle = 500 * time.Millisecond
+
+// Drain takes the daemon out of the list of entries at once, refuses new
+// requests, and ends Run when the requests in flight have their answers or the
+// deadline has come.
+func (d *Daemon) Drain(ctx context.Context, deadline time.Time) {
+	d.drainAt.Do(func() {
+		if deadline.IsZero() {
+			deadline = time.Now().Add(d.Settings.DrainTimeout.Or(defaultDrainTimeout))
+		}
+		d.drainBy.Store(&deadline)
+		d.post(ctx, func(c *controlState, _ time.Time) { c.view.Draining = true })
+		d.Log.Info("drain started", "Deadline", deadline)
+		go d.finishDrain(ctx, deadline)
+	})
+}
+
+func (d *Daemon) finishDrain(ctx context.Context, deadline time.Time) {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	sleep(ctx, settle)
+	select {
+	case <-d.active.empty():
+		d.Log.Info("drain complete")
+	case <-ctx.Done():
+		d.Log.Info("drain ended at its deadline")
+	}
+	close(d.drained)
+}
--- a/internal/standin/instances.go
+++ b/internal/standin/instances.go
@@ -94,8 +94,9 @@
 	return shown
 }
 
-// Handler serves the protocol that instances.Client speaks. POST /faults with an
-// InstancesFaults value replaces the faults in force.
+// Handler serves the protocol that instances.Client speaks, and the calls by
+// which tests change the list. POST /faults with an InstancesFaults value
+// replaces the faults in force.
 func (l *Instances) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/instances", func(w http.ResponseWriter, _ *http.Request) {
@@ -109,6 +110,20 @@
 		reply(w, l.List(), nil)
 	})
 	mux.HandleFunc("POST /faults", setFaults(l.SetFaults))
+	mux.HandleFunc("PUT /instances", func(w http.ResponseWriter, r *http.Request) {
+		var i instances.Instance
+		if err := json.NewDecoder(r.Body).Decode(&i); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		l.Put(i)
+	})
+	mux.HandleFunc("POST /instances/{id}/leave", func(_ http.ResponseWriter, r *http.Request) {
+		l.Leave(r.PathValue("id"), l.Now().Add(span(r, "within")))
+	})
+	mux.HandleFunc("DELETE /instances/{id}", func(_ http.ResponseWriter, r *http.Request) {
+		l.Remove(r.PathValue("id"))
+	})
 	return mux
 }
 
