routing: add the choice of a backend server

Cause: calls need a server that holds their prompt prefix, without a shared view of caches and loads.

--- /dev/null
+++ b/internal/routing/call.go
@@ -0,0 +1,148 @@
+package routing
+
+import (
+	"fmt"
+	"time"
+)
+
+// Call is one request that needs a server.
+type Call struct {
+	RequestID string
+	Service   string
+	Rank      string
+	Model     string
+	Adapter   string
+	// Session groups the turns of one conversation. Where the caller names none, a
+	// hash of the messages up to the first one of the user serves as well.
+	Session string
+	// Place and Region are those of the daemon that serves the caller.
+	Place  string
+	Region string
+	// Blocks is the result of PromptBlocks.
+	Blocks []uint64
+	// PromptTokens is the length of the prompt; 0 means that of the blocks.
+	PromptTokens int
+	// ExpectedTokens is the estimated length of the response.
+	ExpectedTokens int
+	// Excluded lists servers that were already tried.
+	Excluded []string
+	// Alone asks for a server that runs nothing else (quarantine).
+	Alone bool
+	// Plain marks a call to a plain service, which has no prompt.
+	Plain bool
+}
+
+func (c *Call) promptTokens() float64 {
+	if c.PromptTokens > 0 {
+		return float64(c.PromptTokens)
+	}
+	return float64(TokensThrough(len(c.Blocks)))
+}
+
+// Terms are the parts of a score. All are in seconds; money is converted with the
+// worth of a second of the call's rank.
+type Terms struct {
+	// Wait is the expected wait for a slot and for prompts ahead in the same server.
+	Wait float64
+	// Prefill is the time to compute the tokens that are not expected in the cache.
+	Prefill float64
+	// Latency is the network delay to the server and back.
+	Latency float64
+	// Price is the price of the server's time.
+	Price float64
+	// Link is the price of, and the time on, the link between regions.
+	Link float64
+	// Health is the penalty for recent failures and slow responses.
+	Health float64
+}
+
+func (t Terms) sum() float64 {
+	return t.Wait + t.Prefill + t.Latency + t.Price + t.Link + t.Health
+}
+
+// Rejected counts servers that were not eligible, by cause.
+type Rejected struct {
+	NotAccepting int
+	Suspect      int
+	Excluded     int
+	Unhealthy    int
+	Reserved     int
+	Busy         int
+}
+
+// Reasons of a decision.
+const (
+	ReasonCache        = "prompt prefix expected in cache"
+	ReasonHome         = "preferred by prefix hash"
+	ReasonScore        = "lowest score"
+	ReasonOutstanding  = "least outstanding requests"
+	ReasonAlone        = "empty server for a suspected request"
+	ReasonAllFull      = "every eligible server is full"
+	ReasonAllUnhealthy = "every eligible server is unhealthy"
+	ReasonNoService    = "service has no servers"
+	ReasonNoneEligible = "no server is eligible"
+	ReasonNoneEmpty    = "no server is empty"
+)
+
+// Decision is the outcome of Choose. Server is empty when no server is eligible.
+type Decision struct {
+	Server string
+	// Score is the sum of the terms; the lowest wins.
+	Score float64
+	Terms Terms
+	// Considered counts the servers that were scored.
+	Considered int
+	Reason     string
+	// CachedTokens is the expected part of the prompt in the server's cache.
+	CachedTokens float64
+	// Rejected is complete when every server was examined, which is always the case
+	// when Server is empty.
+	Rejected Rejected
+}
+
+// String formats the decision for a log line.
+func (d Decision) String() string {
+	if d.Server == "" {
+		return fmt.Sprintf("no server: %s (not accepting %d, suspect %d, already tried %d, unhealthy %d, reserved %d, busy %d)",
+			d.Reason, d.Rejected.NotAccepting, d.Rejected.Suspect, d.Rejected.Excluded,
+			d.Rejected.Unhealthy, d.Rejected.Reserved, d.Rejected.Busy)
+	}
+	return fmt.Sprintf("%s: %s, score %.4f (wait %.4f, prefill %.4f, latency %.4f, price %.4f, link %.4f, health %.4f), %d considered",
+		d.Server, d.Reason, d.Score, d.Terms.Wait, d.Terms.Prefill, d.Terms.Latency, d.Terms.Price,
+		d.Terms.Link, d.Terms.Health, d.Considered)
+}
+
+// Load is a server's own report of its load.
+type Load struct {
+	Running int
+	Waiting int
+}
+
+// Answer describes a finished response.
+type Answer struct {
+	// CachedTokens is how many prompt tokens the engine took from its cache.
+	CachedTokens int
+	// Load is the server's load when it sent the response; nil means not reported.
+	Load *Load
+}
+
+// CacheEventKind says what happened to blocks in a server's cache.
+type CacheEventKind string
+
+// Kinds of cache events.
+const (
+	CacheStored  CacheEventKind = "Stored"
+	CacheEvicted CacheEventKind = "Evicted"
+	CacheCleared CacheEventKind = "Cleared"
+)
+
+// CacheEvent is a hint about a server's cache. Events arrive late and some are lost.
+type CacheEvent struct {
+	Server      string
+	Incarnation int64
+	Kind        CacheEventKind
+	// Blocks are hashes of PromptBlocks; unused for CacheCleared.
+	Blocks []uint64
+	// At is when it happened.
+	At time.Time
+}
