--- /dev/null
+++ b/internal/dispatch/state.go
@@ -0,0 +1,130 @@
+package dispatch
+
+import (
+	"time"
+
+	"apricotbridge/internal/admission"
+	"apricotbridge/internal/message"
+	"apricotbridge/internal/quarantine"
+	"apricotbridge/internal/routing"
+)
+
+// Configure puts new ranks and organisations in force.
+func (d *Dispatcher) Configure(ranks []admission.Rank, organisations []admission.Organisation) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.Queue.Configure(ranks, organisations)
+}
+
+// Report records a server's load as of the given time.
+func (d *Dispatcher) Report(now, at time.Time, server string, incarnation int64, load routing.Load) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.Router.Report(at, server, incarnation, load)
+	d.pump(now)
+}
+
+// CacheEvent records a hint about a server's cache.
+func (d *Dispatcher) CacheEvent(now time.Time, e routing.CacheEvent) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.Router.CacheEvent(now, e)
+}
+
+// StopServer stops the running requests at a server that is leaving and that
+// will not be done in the time left, so that they go on elsewhere. It returns how
+// many it stopped.
+func (d *Dispatcher) StopServer(server string, incarnation int64, left time.Duration) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	stopped := 0
+	for _, w := range d.works {
+		if !w.running || w.Stop == nil || w.server.ID != server || w.server.Incarnation != incarnation {
+			continue
+		}
+		if left > 0 && w.remaining() < left-moveMargin {
+			continue
+		}
+		w.Stop()
+		stopped++
+	}
+	return stopped
+}
+
+// moveMargin is kept before the end of a server, for the estimate of the time
+// that a response takes is coarse.
+const moveMargin = 2 * time.Second
+
+// remaining estimates the time to the end of a running request.
+func (w *Work) remaining() time.Duration {
+	rate := w.server.TokensPerSecond / float64(max(1, w.server.Slots))
+	if rate <= 0 || w.Request.MaxTokens <= 0 {
+		return time.Hour // Unknown: don't rely on it.
+	}
+	tokens := max(0, w.Request.MaxTokens-w.Request.Generated-w.generated)
+	return time.Duration(float64(tokens) / rate * float64(time.Second))
+}
+
+// Usage appends what this daemon served, for its peers.
+func (d *Dispatcher) Usage(now time.Time, buf []admission.PeerUsage) []admission.PeerUsage {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.Queue.Counters(now, buf)
+}
+
+// MergeUsage takes over what other daemons served.
+func (d *Dispatcher) MergeUsage(now time.Time, reports []admission.PeerUsage) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.Queue.Merge(now, reports)
+}
+
+// Suspects returns the quarantine entries and the hash of the list.
+func (d *Dispatcher) Suspects() ([]message.Suspect, uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.Quarantine.Entries(), d.Quarantine.Hash()
+}
+
+// SuspectsHash returns the hash of the quarantine list.
+func (d *Dispatcher) SuspectsHash() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.Quarantine.Hash()
+}
+
+// MergeSuspects takes over the quarantine entries of others. It reports whether
+// the list changed.
+func (d *Dispatcher) MergeSuspects(now time.Time, entries []message.Suspect) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.Quarantine.Merge(now, entries)
+}
+
+// Verdict says how a request with the given fingerprint may run.
+func (d *Dispatcher) Verdict(now time.Time, f quarantine.Fingerprint) quarantine.Verdict {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.Quarantine.Verdict(now, f)
+}
+
+// Status is a snapshot for metrics and operators.
+type Status struct {
+	Counts   Counts
+	Queue    admission.Stats
+	Parked   int
+	InFlight map[string]int
+}
+
+// Status returns the present state.
+func (d *Dispatcher) Status(now time.Time) Status {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := Status{Counts: d.counts, Queue: d.Queue.Stats(now), Parked: len(d.parked), InFlight: map[string]int{}}
+	for _, w := range d.works {
+		if w.running {
+			s.InFlight[w.server.ID]++
+		}
+	}
+	return s
+}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -39,13 +39,13 @@
 	if q.Chat {
 		path = "/v1/chat/completions"
 	}
-	return c.stream(ctx, http.MethodPost, "http://"+address+path, q.Stream, body, len(q.Prior), each)
+	return c.stream(ctx, http.MethodPost, "http://"+address+path, q.Stream, body, len(q.Prior), q.Started, each)
 }
 
 // Resume goes on with a stream after the given token.
 func (c *Client) Resume(ctx context.Context, address, stream string, after int, each func(Token) error) error {
 	target := "http://" + address + "/v1/streams/" + url.PathEscape(stream) + "?after=" + strconv.Itoa(after)
-	return c.stream(ctx, http.MethodGet, target, stream, nil, after, each)
+	return c.stream(ctx, http.MethodGet, target, stream, nil, after, nil, each)
 }
 
 // engineBody adds the engine's extension members to the caller's body.
@@ -66,7 +66,7 @@
 	return json.Marshal(members)
 }
 
-func (c *Client) stream(ctx context.Context, method, target, stream string, body []byte, after int, each func(Token) error) error {
+func (c *Client) stream(ctx context.Context, method, target, stream string, body []byte, after int, started func(Load), each func(Token) error) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
@@ -86,12 +86,22 @@
 	if err := statusError(res); err != nil {
 		return err
 	}
+	if started != nil {
+		started(headerLoad(res.Header))
+	}
 	return readTokens(res.Body, after, func(t Token) error {
 		idle.Reset(c.idle())
 		return each(t)
 	})
 }
 
+// headerLoad reads the load that comes with the start of a stream.
+func headerLoad(h http.Header) Load {
+	running, _ := strconv.Atoi(h.Get("X-Engine-Running")) // A missing header is 0.
+	waiting, _ := strconv.Atoi(h.Get("X-Engine-Waiting"))
+	return Load{Running: running, Waiting: waiting}
+}
+
 func startError(err error) error {
 	var op interface{ Timeout() bool }
 	if errors.As(err, &op) && op.Timeout() {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -89,4 +89,6 @@
 	Prior []string
 	// Blocks is the hash chain over the prompt's blocks.
 	Blocks []uint64
+	// Started, when set, gets the engine's load as of the start of the stream.
+	Started func(Load)
 }
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -6,14 +6,15 @@
 	"time"
 
 	"apricotbridge/internal/engine"
+	"apricotbridge/internal/stream"
 	"apricotbridge/pkg/problem"
 )
 
-// resumeKept is how long a finished or unread answer can be resumed.
+// resumeKept is how long a finished answer can be resumed.
 const resumeKept = 60 * time.Second
 
-// answer is the response of one model request. One goroutine appends tokens and
-// readers follow from any token on.
+// answer is the response of one model request. Attempts at backend servers fill
+// it one after another, and readers follow it from any event on.
 type answer struct {
 	id           string
 	organisation string
@@ -21,29 +22,91 @@
 	model        string
 	created      time.Time
 
-	mu      sync.Mutex
-	tokens  []engine.Token
-	done    bool
-	problem *problem.Problem
+	mu     sync.Mutex
+	buffer *stream.Buffer
+	// finish and usage come with the last event.
+	finish string
+	usage  *engine.Usage
+	// recomputed counts prompt and response tokens that later attempts computed
+	// again.
+	recomputed int
+	problem    *problem.Problem
+	// moved is the address of the daemon that continues the answer.
+	moved   string
 	changed chan struct{}
+	forget  *time.Timer
 }
 
 func newAnswer(id, organisation, model string, chat bool, now time.Time) *answer {
-	return &answer{id: id, organisation: organisation, model: model, chat: chat, created: now, changed: make(chan struct{})}
+	return &answer{
+		id: id, organisation: organisation, model: model, chat: chat, created: now,
+		buffer: &stream.Buffer{}, changed: make(chan struct{}),
+	}
+}
+
+// begin starts an attempt and returns its number and the texts generated so far.
+func (a *answer) begin() (attempt int, prior []string, ok bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	last, _ := a.buffer.Attempt()
+	_, ok = a.buffer.Begin(last + 1)
+	return last + 1, a.buffer.Generated(), ok
 }
 
-func (a *answer) append(t engine.Token) {
+// append adds a token of an attempt. A token that the buffer does not take ends
+// the attempt.
+func (a *answer) append(attempt int, t engine.Token) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.tokens = append(a.tokens, t)
+	outcome := a.buffer.Append(attempt, int64(t.Number), t.Text)
+	switch outcome {
+	case stream.Accepted:
+	case stream.Repeated:
+		return nil
+	case stream.Full:
+		return errAnswerTooLong
+	default:
+		return engine.ErrBroken
+	}
+	if t.Finish != "" {
+		a.finish, a.usage = t.Finish, t.Usage
+	}
 	a.wake()
+	return nil
 }
 
-// end closes the answer; a problem says that it is not whole.
-func (a *answer) end(p *problem.Problem) {
+// end completes the answer when the attempt delivered it whole.
+func (a *answer) end(attempt int) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.done, a.problem = true, p
+	if a.finish == "" || a.buffer.End(attempt, a.buffer.Last()) != stream.Accepted {
+		a.buffer.Fail(attempt)
+		return false
+	}
+	if a.usage != nil {
+		a.usage.RecomputedTokens = a.recomputed
+	}
+	a.wake()
+	return true
+}
+
+// fail ends an attempt without completing the answer.
+func (a *answer) fail(attempt, recompute int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.buffer.Fail(attempt)
+	a.recomputed += recompute
+}
+
+// abandon ends the answer with a problem. An answer that is whole stays so.
+func (a *answer) abandon(p *problem.Problem) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if state, _ := a.buffer.State(); state == stream.Whole {
+		return
+	}
+	a.buffer.Abandon(string(p.Kind))
+	a.problem = p
 	a.wake()
 }
 
@@ -52,26 +115,47 @@
 	a.changed = make(chan struct{})
 }
 
-// read returns the tokens after the given number, and a channel that is closed
-// with the next change.
-func (a *answer) read(after int) (tokens []engine.Token, done bool, p *problem.Problem, changed <-chan struct{}) {
+// reading is what a reader gets.
+type reading struct {
+	events []stream.Event
+	// whole is set when the last event is among the events or was read before.
+	whole   bool
+	problem *problem.Problem
+	moved   string
+	changed <-chan struct{}
+}
+
+// read returns the events after the given sequence.
+func (a *answer) read(after int64) reading {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.tokens[min(after, len(a.tokens)):], a.done, a.problem, a.changed
+	events, err := a.buffer.Read(after, 0)
+	if err != nil {
+		return reading{problem: problem.New(problem.BadRequest, "%v", err)}
+	}
+	state, _ := a.buffer.State()
+	return reading{events: events, whole: state == stream.Whole, problem: a.problem, moved: a.moved, changed: a.changed}
 }
 
-// generated returns the texts of the tokens so far.
-func (a *answer) generated() []string {
+// last returns what the last event of a whole answer carries.
+func (a *answer) last() (sequence int64, finish string, usage *engine.Usage) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	texts := make([]string, len(a.tokens))
-	for i, t := range a.tokens {
-		texts[i] = t.Text
+	if a.finish == "" {
+		return -1, "", nil
 	}
-	return texts
+	return a.buffer.Last(), a.finish, a.usage
 }
 
-// answers holds the answers that can be resumed and waits for their goroutines.
+// generated returns how many tokens there are.
+func (a *answer) generated() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return int(a.buffer.Last())
+}
+
+// answers holds the answers that can be resumed and waits for the goroutines
+// that produce them.
 type answers struct {
 	mu      sync.Mutex
 	byID    map[string]*answer
@@ -80,10 +164,14 @@
 
 func (s *answers) init() { s.byID = map[string]*answer{} }
 
-func (s *answers) find(id string) *answer {
+// find returns the answer of an organisation's request, or nil.
+func (s *answers) find(id, organisation string) *answer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.byID[id]
+	if a := s.byID[id]; a != nil && a.organisation == organisation {
+		return a
+	}
+	return nil
 }
 
 // start registers an answer and runs its producer. The answer is forgotten some
@@ -95,13 +183,31 @@
 	s.running.Add(1)
 	go func() {
 		defer s.running.Done()
-		a.end(produce(ctx))
-		time.AfterFunc(resumeKept, func() {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			delete(s.byID, a.id)
-		})
+		if p := produce(ctx); p != nil {
+			a.abandon(p)
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		a.forget = time.AfterFunc(resumeKept, func() { s.remove(a) })
 	}()
 }
 
-func (s *answers) wait() { s.running.Wait() }
+func (s *answers) remove(a *answer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.byID[a.id] == a {
+		delete(s.byID, a.id)
+	}
+}
+
+// close waits for the producers and stops the timers.
+func (s *answers) close() {
+	s.running.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range s.byID {
+		if a.forget != nil {
+			a.forget.Stop()
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/attempt.go
@@ -0,0 +1,245 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/juju/errors"
+
+	"apricotbridge/internal/admission"
+	"apricotbridge/internal/dispatch"
+	"apricotbridge/internal/engine"
+	"apricotbridge/internal/quarantine"
+	"apricotbridge/internal/routing"
+	"apricotbridge/pkg/problem"
+)
+
+const (
+	errAnswerTooLong = errors.ConstError("answer exceeds the buffer")
+	// errStopped is the cause of the end of an attempt that made room or whose
+	// server is leaving.
+	errStopped = errors.ConstError("attempt stopped")
+	// maxAttempts bounds the attempts that fail. Attempts that were stopped do not
+	// count.
+	maxAttempts = 4
+)
+
+// runModelCall produces the answer: it waits for its turn and runs attempts until
+// one is complete. Each attempt goes on after the events of those before it.
+func (d *Daemon) runModelCall(ctx context.Context, call *modelCall, a *answer) *problem.Problem {
+	stop := make(chan struct{}, 1)
+	w := d.modelWork(call, a, stop)
+	if p := d.dispatcher.Submit(time.Now(), w); p != nil {
+		return p
+	}
+	failures := 0
+	for {
+		grant, ok := d.turn(ctx, w)
+		if !ok {
+			return problem.New(problem.Internal, "request was cancelled")
+		}
+		if grant.Problem != nil {
+			return grant.Problem
+		}
+		d.logRouting(call.id, call.service.Name, failures+1, grant)
+		ending, err := d.attempt(ctx, call, a, w, grant.Server, stop)
+		if err == nil {
+			return nil
+		}
+		if ctx.Err() != nil {
+			d.dispatcher.Cancel(time.Now(), call.id)
+			return problem.New(problem.Internal, "request was cancelled")
+		}
+		if p := finalProblem(err); p != nil {
+			d.dispatcher.Cancel(time.Now(), call.id)
+			return p
+		}
+		if ending != dispatch.Stopped {
+			failures++
+		}
+		d.Log.Info("attempt ended early", "RequestID", call.id, "Server", grant.Server.ID, "Ending", ending, "Error", err.Error())
+		if failures >= maxAttempts && !w.Durable {
+			d.dispatcher.Cancel(time.Now(), call.id)
+			return problem.New(problem.BackendFailed, "%d attempts failed", failures)
+		}
+		recompute := a.generated()
+		if recompute > 0 {
+			recompute += w.Request.PromptTokens
+		}
+		if p := d.dispatcher.Retry(time.Now(), call.id, ending, recompute); p != nil {
+			return p
+		}
+	}
+}
+
+// modelWork returns the work of a model call. Its prompt is hashed for the prefix
+// cache and the fingerprint; the text itself is not kept.
+func (d *Daemon) modelWork(call *modelCall, a *answer, stop chan<- struct{}) *dispatch.Work {
+	blocks := routing.PromptBlocks(call.prompt, call.model, "")
+	return &dispatch.Work{
+		Request: admission.Request{
+			ID: call.id, Organisation: call.organisation, Rank: call.rank, Service: call.service.Name,
+			PromptTokens: len(call.prompt) / routing.BytesPerToken, MaxTokens: call.maxTokens, Arrived: call.received,
+			Generated: a.generated(),
+		},
+		Call: routing.Call{
+			RequestID: call.id, Service: call.service.Name, Rank: call.rank, Model: call.model, Session: call.session,
+			Place: d.Settings.Place, Region: d.Settings.Region, Blocks: blocks,
+			PromptTokens: len(call.prompt) / routing.BytesPerToken, ExpectedTokens: call.maxTokens,
+		},
+		Fingerprint: quarantine.FingerprintOf(call.organisation, call.service.Name, call.body),
+		Durable:     call.durable,
+		Stop: func() {
+			select {
+			case stop <- struct{}{}:
+			default: // The attempt was told already.
+			}
+		},
+	}
+}
+
+// turn waits until the request gets a turn. It reports false when the context
+// ended first.
+func (d *Daemon) turn(ctx context.Context, w *dispatch.Work) (dispatch.Grant, bool) {
+	select {
+	case grant := <-w.Grants():
+		return grant, true
+	case <-ctx.Done():
+		d.dispatcher.Cancel(time.Now(), w.Request.ID)
+		return dispatch.Grant{}, false
+	}
+}
+
+// attempt runs the request at one server. It returns nil when the answer is
+// complete, and otherwise how the attempt ended.
+func (d *Daemon) attempt(ctx context.Context, call *modelCall, a *answer, w *dispatch.Work, server routing.Server, stop <-chan struct{}) (dispatch.Ending, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	select {
+	case <-stop: // Meant for an attempt before this one.
+	default:
+	}
+	watching := make(chan struct{})
+	go func() {
+		defer close(watching)
+		select {
+		case <-stop:
+			cancel(errStopped)
+		case <-ctx.Done():
+		}
+	}()
+	defer func() {
+		cancel(nil)
+		<-watching
+	}()
+
+	number, prior, ok := a.begin()
+	if !ok {
+		return dispatch.Stopped, errors.Annotate(errStopped, "answer takes no more attempts")
+	}
+	stream := fmt.Sprintf("%s/%d", call.id, number)
+	q := engine.Request{Stream: stream, Body: call.body, Chat: call.chat, Priority: call.priority, Prior: prior, Blocks: w.Call.Blocks}
+	var load *routing.Load
+	q.Started = func(l engine.Load) { load = &routing.Load{Running: l.Running, Waiting: l.Waiting} }
+	first := true
+	generated := len(prior)
+	err := d.Engine.Stream(ctx, server.Address, q, func(t engine.Token) error {
+		now := time.Now()
+		if first {
+			first = false
+			d.dispatcher.FirstToken(now, call.id)
+			d.metrics.firstToken(call.rank, now.Sub(call.received), len(prior) == 0)
+		}
+		generated++
+		if generated%progressTokens == 0 {
+			d.dispatcher.Progress(call.id, generated-len(prior))
+		}
+		return a.append(number, t)
+	})
+	if err == nil && a.end(number) {
+		d.finishWork(call, a, generated-len(prior), load)
+		return 0, nil
+	}
+	if err == nil {
+		err = errors.Annotate(engine.ErrBroken, "answer is not complete")
+	}
+	ending := d.endingOf(ctx, err, server)
+	d.dispatcher.Progress(call.id, generated-len(prior))
+	recompute := 0
+	if generated > 0 {
+		recompute = w.Request.PromptTokens + generated
+	}
+	a.fail(number, recompute)
+	d.cancelAt(server.Address, stream)
+	return ending, err
+}
+
+// progressTokens is how often the dispatcher learns the length of an answer.
+const progressTokens = 16
+
+func (d *Daemon) finishWork(call *modelCall, a *answer, generated int, load *routing.Load) {
+	used := admission.Usage{ID: call.id, OutputTokens: generated}
+	answer := routing.Answer{Load: load}
+	if _, _, usage := a.last(); usage != nil {
+		used.PromptTokens = max(0, usage.PromptTokens-usage.CachedTokens)
+		answer.CachedTokens = usage.CachedTokens
+		d.metrics.tokens(usage)
+	}
+	d.dispatcher.Finish(time.Now(), call.id, used, answer)
+}
+
+// endingOf says how an attempt ended. A server that refuses connections after a
+// response broke off, and that was not told to leave, has crashed.
+func (d *Daemon) endingOf(ctx context.Context, err error, server routing.Server) dispatch.Ending {
+	switch {
+	case errors.Is(context.Cause(ctx), errStopped):
+		return dispatch.Stopped
+	case errors.Is(err, engine.ErrNotStarted):
+		d.suspect(server)
+		return dispatch.NotStarted
+	}
+	d.suspect(server)
+	if d.leaving(server) {
+		return dispatch.Stopped
+	}
+	probe, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
+	defer cancel()
+	if _, err := d.Engine.Load(probe, server.Address); errors.Is(err, engine.ErrNotStarted) {
+		return dispatch.Crashed
+	}
+	return dispatch.Broken
+}
+
+const probeTimeout = time.Second
+
+// finalProblem returns the problem of an error that another attempt can't mend.
+func finalProblem(err error) *problem.Problem {
+	switch {
+	case errors.Is(err, engine.ErrRejected):
+		return problem.New(problem.BadRequest, "backend server rejected the request: %v", err)
+	case errors.Is(err, errAnswerTooLong):
+		return problem.New(problem.BackendFailed, "%v", err)
+	}
+	return nil
+}
+
+// cancelAt ends an attempt at its engine, which would run on for a resume.
+func (d *Daemon) cancelAt(address, stream string) {
+	d.answers.running.Add(1)
+	go func() {
+		defer d.answers.running.Done()
+		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+		defer cancel()
+		_ = d.Engine.Cancel(ctx, address, stream) // An engine that is gone has ended it.
+	}()
+}
+
+// logRouting writes the log line of a routing decision.
+func (d *Daemon) logRouting(id, service string, attempt int, g dispatch.Grant) {
+	t := g.Decision.Terms
+	d.Log.Info("routing decision", "RequestID", id, "Service", service, "Attempt", attempt, "Server", g.Server.ID,
+		"ServerPlace", g.Server.Place, "Reason", g.Decision.Reason, "Considered", g.Decision.Considered,
+		"Score", g.Decision.Score, "Wait", t.Wait, "Prefill", t.Prefill, "Latency", t.Latency, "Price", t.Price,
+		"Link", t.Link, "Health", t.Health, "CachedTokens", g.Decision.CachedTokens)
+}
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"sort"
 	"strings"
 	"time"
 
@@ -69,8 +68,10 @@
 			p = h(w, r, c)
 		}
 		if p == nil {
+			d.metrics.answered("")
 			return
 		}
+		d.metrics.answered(string(p.Kind))
 		p.RequestID = c.id
 		d.Log.Info("request answered with a problem", "RequestID", c.id, "Kind", p.Kind, "Detail", p.Detail)
 		p.Write(w)
@@ -136,34 +137,15 @@
 	return nil
 }
 
-// entries returns the addresses that callers should use: this daemon, then those
-// of its place, its region and the others. Leaving daemons are left out.
+// entries returns the addresses that callers should use, in order.
 func (d *Daemon) entries(v *View) []string {
-	peers := append([]Registration(nil), v.Peers...)
-	sort.SliceStable(peers, func(i, j int) bool { return d.distance(peers[i]) < d.distance(peers[j]) })
-	found := []string{}
-	if !v.Draining {
-		found = append(found, d.addrs.caller)
-	}
-	for _, p := range peers {
-		if !p.Draining && p.Daemon != d.Settings.Daemon {
-			found = append(found, p.CallerAddress)
-		}
+	found := make([]string, 0, len(v.Entries))
+	for _, e := range v.Entries {
+		found = append(found, e.CallerAddress)
 	}
 	return found
 }
 
-func (d *Daemon) distance(r Registration) int {
-	switch {
-	case r.Place == d.Settings.Place:
-		return 0
-	case r.Region == d.Settings.Region:
-		return 1
-	default:
-		return 2
-	}
-}
-
 // modelList is the answer of GET /v1/models.
 type modelList struct {
 	Object string      `json:"object"`
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -2,39 +2,34 @@
 
 import (
 	"context"
-	"encoding/json"
-	"sort"
+	"slices"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
-	"github.com/juju/errors"
-
 	"apricotbridge/internal/instances"
-	"apricotbridge/internal/keyvalue"
+	"apricotbridge/internal/membership"
+	"apricotbridge/internal/routing"
 	"apricotbridge/pkg/config"
 )
 
-// Periods of the control goroutines.
-const (
-	instancePeriod   = 500 * time.Millisecond
-	registrationTTL  = 30 * time.Second
-	registrationTick = 10 * time.Second
-	peerPeriod       = 2 * time.Second
-)
-
-// ConfigurationKey is the key of the operators' configuration.
-const ConfigurationKey = "config"
+// controlTick is the period of the work that depends on time alone.
+const controlTick = 100 * time.Millisecond
 
-// registrationPrefix starts the keys of registrations.
-const registrationPrefix = "daemons/"
-
-// control state changes by events only; each runs in the control goroutine.
+// event changes the control state; it runs in the control goroutine.
 type event func(c *controlState, now time.Time)
 
 // controlState is owned by the control goroutine.
 type controlState struct {
-	d    *Daemon
-	view View
+	d       *Daemon
+	members membership.Set
+	daemons membership.Daemons
+	// prices and ends are those of the instance list.
+	prices map[string]float64
+	ends   map[string]time.Time
+	// stale says that the routing table has to be built again.
+	stale bool
+	// suspicion is when the next suspicion ends.
+	suspicion time.Time
+	view      View
 }
 
 // post hands an event to the control goroutine and waits while its queue is full.
@@ -45,163 +40,186 @@
 	}
 }
 
+// tell hands an event to the control goroutine unless its queue is full. It is
+// for hints that traffic has and that come again.
+func (d *Daemon) tell(e event) {
+	select {
+	case d.events <- e:
+	default:
+	}
+}
+
 // control applies events one by one and publishes a new view after each.
 func (d *Daemon) control(ctx context.Context) error {
-	c := &controlState{d: d}
+	c := newControlState(d)
+	tick := time.NewTicker(controlTick)
+	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case e := <-d.events:
-			e(c, time.Now())
-			view := c.view
-			d.view.Store(&view)
+			now := time.Now()
+			e(c, now)
+			c.drainEvents(now)
+			c.publish(now)
+		case now := <-tick.C:
+			c.tick(now)
+			c.publish(now)
+			d.dispatcher.Tick(now)
 		}
 	}
 }
 
-// adopt takes over a configuration. Revisions only rise, and one that cannot be
-// read leaves the last good one in force.
-func (c *controlState) adopt(revision int64, text []byte) {
-	if revision <= c.view.Revision {
-		return
+func newControlState(d *Daemon) *controlState {
+	return &controlState{
+		d: d, daemons: membership.Daemons{Self: d.self()},
+		prices: map[string]float64{}, ends: map[string]time.Time{},
 	}
-	parsed, err := config.Parse(text)
-	if err != nil {
-		c.d.Log.Error(err, "configuration refused; the last good one stays in force", "Revision", revision, "InForce", c.view.Revision)
-		return
+}
+
+// drainEvents applies the events that wait already, so that a burst is published
+// once.
+func (c *controlState) drainEvents(now time.Time) {
+	for range len(c.d.events) {
+		(<-c.d.events)(c, now)
 	}
-	c.view.Revision, c.view.Index = revision, NewIndex(parsed)
-	c.d.Log.Info("configuration adopted", "Revision", revision)
 }
 
-// followConfiguration reads the configuration and waits for newer ones.
-func (d *Daemon) followConfiguration(ctx context.Context) error {
-	wait := newBackoff()
-	after := int64(0)
-	for ctx.Err() == nil {
-		if after == 0 {
-			e, err := d.KeyValue.Get(ctx, ConfigurationKey)
-			switch {
-			case err == nil:
-				d.post(ctx, func(c *controlState, _ time.Time) { c.adopt(e.Revision, e.Value) })
-				after = e.Revision
-			case !errors.Is(err, keyvalue.ErrNotFound):
-				d.Log.V(1).Info("configuration not read", "Error", err.Error())
-				sleep(ctx, wait.NextBackOff())
-				continue
-			}
-		}
-		entries, revision, err := d.KeyValue.Watch(ctx, ConfigurationKey, after)
-		if err != nil {
-			sleep(ctx, wait.NextBackOff())
-			continue
-		}
-		wait.Reset()
-		after = max(after, revision)
-		for _, e := range entries {
-			if e.Key == ConfigurationKey && !e.Deleted {
-				d.post(ctx, func(c *controlState, _ time.Time) { c.adopt(e.Revision, e.Value) })
-			}
-		}
+// self returns this daemon as its peers see it.
+func (d *Daemon) self() membership.Daemon {
+	return membership.Daemon{
+		ID: d.Settings.Daemon, Start: d.start, Place: d.Settings.Place, Region: d.Settings.Region,
+		PeerAddress: d.addrs.peer, CallerAddress: d.addrs.caller,
 	}
-	return ctx.Err()
 }
 
-// followInstances reads the instance list.
-func (d *Daemon) followInstances(ctx context.Context) error {
-	for ctx.Err() == nil {
-		list, err := d.Instances.List(ctx)
-		if err != nil {
-			d.Log.V(1).Info("instance list not read", "Error", err.Error())
-		} else {
-			d.post(ctx, func(c *controlState, _ time.Time) { c.listed(list) })
-		}
-		sleep(ctx, instancePeriod)
+func (c *controlState) tick(now time.Time) {
+	c.changed(now, c.members.Tick(now))
+	c.daemons.Tick(now)
+	if !c.suspicion.IsZero() && now.After(c.suspicion) {
+		c.stale, c.suspicion = true, time.Time{}
 	}
-	return ctx.Err()
 }
 
-func (c *controlState) listed(list instances.List) {
-	servers := append([]instances.Instance(nil), list.Instances...)
-	sort.Slice(servers, func(i, j int) bool { return servers[i].ID < servers[j].ID })
-	c.view.Servers = servers
+// publish makes the present state visible to traffic.
+func (c *controlState) publish(now time.Time) {
+	c.view.Daemons = c.daemons.Snapshot()
+	c.view.Entries = c.daemons.Entries(now, c.d.Settings.Place, c.d.Settings.Region, c.d.Settings.Daemon)
+	if c.stale || c.view.Table == nil {
+		c.stale = false
+		c.view.Members = c.members.Snapshot()
+		c.view.Table = c.routingTable(now)
+		c.view.ends = cloneMap(c.ends)
+		c.d.dispatcher.SetTable(now, c.view.Table)
+	}
+	view := c.view
+	c.d.view.Store(&view)
 }
 
-// register keeps this daemon's registration alive under a lease and reads those
-// of the others.
-func (d *Daemon) register(ctx context.Context) error {
-	lease := "daemon-" + d.Settings.Daemon
-	var renewed time.Time
-	written := Registration{}
-	for ctx.Err() == nil {
-		if time.Since(renewed) > registrationTick {
-			if err := d.KeyValue.Grant(ctx, lease, registrationTTL); err == nil {
-				renewed = time.Now()
-			}
-		}
-		want := d.registration()
-		if want != written && !renewed.IsZero() {
-			if err := d.writeRegistration(ctx, want, lease); err == nil {
-				written = want
-			}
+func cloneMap[K comparable, V any](m map[K]V) map[K]V {
+	clone := make(map[K]V, len(m))
+	for k, v := range m {
+		clone[k] = v
+	}
+	return clone
+}
+
+// adopt takes over a configuration that adoption has accepted.
+func (c *controlState) adopt(revision int64, parsed *config.Configuration) {
+	c.view.Revision, c.view.Index = revision, NewIndex(parsed)
+	c.d.dispatcher.Configure(c.view.Index.admissionRanks(), c.view.Index.admissionOrganisations())
+	c.stale = true
+	c.d.Log.Info("configuration adopted", "Revision", revision)
+}
+
+// listed takes an answer of the instance list.
+func (c *controlState) listed(now, called time.Time, list instances.List) {
+	taken := called
+	if list.AsOf.Before(taken) && !list.AsOf.IsZero() {
+		taken = list.AsOf
+	}
+	l := membership.List{Taken: taken, Members: make([]membership.Member, 0, len(list.Instances))}
+	for _, i := range list.Instances {
+		if c.prices[i.ID] != i.Price {
+			c.prices[i.ID], c.stale = i.Price, true
 		}
-		entries, _, err := d.KeyValue.List(ctx, registrationPrefix)
-		if err == nil {
-			d.post(ctx, func(c *controlState, _ time.Time) { c.registered(entries) })
+		if i.State == instances.Leaving {
+			c.ends[i.ID] = i.Deadline
 		}
-		sleep(ctx, peerPeriod)
+		l.Members = append(l.Members, memberOf(i))
 	}
-	return ctx.Err()
+	c.changed(now, c.members.ApplyList(now, l))
 }
 
-func (d *Daemon) registration() Registration {
-	return Registration{
-		Daemon: d.Settings.Daemon, Region: d.Settings.Region, Place: d.Settings.Place,
-		CallerAddress: d.addrs.caller, OperatorAddress: d.addrs.operator, Draining: d.view.Load().Draining,
+func memberOf(i instances.Instance) membership.Member {
+	state := membership.Serving
+	if i.State == instances.Leaving {
+		state = membership.Leaving
+	}
+	return membership.Member{
+		Server: i.ID, Incarnation: i.Incarnation, State: state, Address: i.Address,
+		Service: i.Service, Place: i.Place, Class: i.Class,
 	}
 }
 
-func (d *Daemon) writeRegistration(ctx context.Context, r Registration, lease string) error {
-	value, err := json.Marshal(r)
-	if err != nil {
-		return errors.Annotate(err, "encode registration")
-	}
-	key := registrationPrefix + d.Settings.Daemon
-	current, err := d.KeyValue.Get(ctx, key)
-	if err != nil && !errors.Is(err, keyvalue.ErrNotFound) {
-		return err
+// signal takes a statement about one server.
+func (c *controlState) signal(now time.Time, s membership.Signal) {
+	if change, ok := c.members.Apply(now, s); ok {
+		c.changed(now, []membership.Change{change})
 	}
-	_, err = d.KeyValue.CompareAndSwap(ctx, key, value, current.Revision, lease)
-	return err
 }
 
-func (c *controlState) registered(entries []keyvalue.Entry) {
-	var peers []Registration
-	for _, e := range entries {
-		var r Registration
-		if err := json.Unmarshal(e.Value, &r); err != nil {
-			c.d.Log.Error(err, "registration cannot be read", "Key", e.Key)
+// changed acts on changes of members: it logs them, tells peers, and moves the
+// requests of servers that are leaving.
+func (c *controlState) changed(now time.Time, changes []membership.Change) {
+	for _, change := range changes {
+		m := change.Member
+		c.stale = true
+		if m.SuspectUntil.After(now) && (c.suspicion.IsZero() || m.SuspectUntil.Before(c.suspicion)) {
+			c.suspicion = m.SuspectUntil
+		}
+		c.d.Log.Info("backend server changed", "Server", m.Server, "Incarnation", m.Incarnation, "Service", m.Service,
+			"ServerPlace", m.Place, "State", m.State.String(), "Before", change.Before.String(), "Suspect", m.Suspect(now))
+		if m.State < membership.Leaving || change.Before >= membership.Leaving {
 			continue
 		}
-		peers = append(peers, r)
+		left := time.Duration(0)
+		if end, ok := c.ends[m.Server]; ok && m.State == membership.Leaving {
+			left = end.Sub(now)
+		}
+		if n := c.d.dispatcher.StopServer(m.Server, m.Incarnation, left); n > 0 {
+			c.d.Log.Info("requests move away from a leaving server", "Server", m.Server, "Requests", n, "Left", left.String())
+		}
 	}
-	c.view.Peers = peers
+	c.share(changes)
 }
 
-// newBackoff spreads retries, so that daemons do not call together when the
-// key-value service returns.
-func newBackoff() *backoff.ExponentialBackOff {
-	b := backoff.NewExponentialBackOff()
-	b.InitialInterval = 100 * time.Millisecond
-	b.MaxInterval = 5 * time.Second
-	return b
+// share tells peers the changes that concern them.
+func (c *controlState) share(changes []membership.Change) {
+	shared := slices.DeleteFunc(slices.Clone(changes), func(ch membership.Change) bool { return !ch.Share })
+	if len(shared) > 0 {
+		c.d.shareMembers(shared)
+	}
 }
 
-// sleep waits or returns early when the context ends.
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
+// suspect tells the control goroutine that a server did not take or finish a
+// request.
+func (d *Daemon) suspect(s routing.Server) {
+	d.tell(func(c *controlState, now time.Time) {
+		c.signal(now, membership.Signal{
+			Source: membership.ConnectionFailure,
+			Member: membership.Member{Server: s.ID, Incarnation: s.Incarnation},
+		})
+	})
+}
+
+// leaving reports whether a server was told to leave.
+func (d *Daemon) leaving(s routing.Server) bool {
+	for _, m := range d.view.Load().Members {
+		if m.Server == s.ID {
+			return m.Incarnation != s.Incarnation || m.State >= membership.Leaving
+		}
 	}
+	return true
 }
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -15,9 +16,13 @@
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
 
+	"apricotbridge/internal/admission"
+	"apricotbridge/internal/dispatch"
 	"apricotbridge/internal/engine"
 	"apricotbridge/internal/instances"
 	"apricotbridge/internal/keyvalue"
+	"apricotbridge/internal/quarantine"
+	"apricotbridge/internal/routing"
 	"apricotbridge/internal/service"
 	"apricotbridge/internal/settings"
 )
@@ -43,6 +48,7 @@
 	Stream(ctx context.Context, address string, q engine.Request, each func(engine.Token) error) error
 	Resume(ctx context.Context, address, stream string, after int, each func(engine.Token) error) error
 	Cancel(ctx context.Context, address, stream string) error
+	CacheEvents(ctx context.Context, address string, after int64) ([]engine.CacheEvent, error)
 	Load(ctx context.Context, address string) (engine.Load, error)
 }
 
@@ -77,21 +83,25 @@
 	// Seed makes jitter and tie breaks repeatable; 0 takes a random one.
 	Seed uint64
 
-	view    atomic.Pointer[View]
-	events  chan event
-	ready   chan struct{}
-	drained chan struct{}
-	addrs   addresses
-	active  activity
-	answers answers
-	flights flights
-	drainAt sync.Once
-	drainBy atomic.Pointer[time.Time]
+	view       atomic.Pointer[View]
+	start      int64
+	events     chan event
+	ready      chan struct{}
+	draining   chan struct{}
+	drained    chan struct{}
+	addrs      addresses
+	active     activity
+	answers    answers
+	dispatcher *dispatch.Dispatcher
+	// work is the context of requests, which go on when their caller is cut off.
+	work context.Context
+	metrics    *telemetry
+	drainOnce  sync.Once
 }
 
 // addresses are where the daemon listens, known once it is ready.
 type addresses struct {
-	caller, operator string
+	caller, peer, operator string
 }
 
 // New returns a daemon with its clients made from the settings.
@@ -105,9 +115,12 @@
 		Engine:    &engine.Client{HTTP: service.NewHTTPClient(false), Idle: s.StreamIdle.Or(defaultStreamIdle)},
 		Service:   &service.Client{HTTP: service.NewHTTPClient(false)},
 		Order:     &service.Client{HTTP: order},
-		events:    make(chan event, 256),
+		start:     time.Now().UnixNano(),
+		events:    make(chan event, 1024),
 		ready:     make(chan struct{}),
+		draining:  make(chan struct{}),
 		drained:   make(chan struct{}),
+		metrics:   newTelemetry(),
 	}
 }
 
@@ -137,8 +150,9 @@
 	}
 	d.addrs.caller = orString(d.Settings.CallerAddress, callers.Addr().String())
 	d.addrs.operator = operators.Addr().String()
+	d.work = ctx
 	d.answers.init()
-	d.flights.init()
+	d.dispatcher = d.newDispatcher()
 	d.view.Store(&View{})
 
 	t := newTasks(ctx)
@@ -146,6 +160,7 @@
 	t.start("configuration", d.followConfiguration)
 	t.start("instance list", d.followInstances)
 	t.start("registration", d.register)
+	t.start("engine polls", d.pollEngines)
 	t.start("callers", func(ctx context.Context) error { return serveHTTP(ctx, d.callerServer(), callers) })
 	t.start("operators", func(ctx context.Context) error { return d.serveOperators(ctx, operators) })
 	close(d.ready)
@@ -162,11 +177,23 @@
 	if rest := t.wait(); err == nil {
 		err = rest
 	}
-	d.answers.wait()
+	d.answers.close()
 	d.Log.Info("daemon stopped")
 	return err
 }
 
+// newDispatcher returns a dispatcher whose ranks and organisations come with the
+// first configuration.
+func (d *Daemon) newDispatcher() *dispatch.Dispatcher {
+	seed := d.Seed
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	queue := &admission.Queue{Daemon: d.Settings.Daemon, Seed: seed}
+	random := rand.New(rand.NewPCG(seed, uint64(d.start)))
+	return dispatch.New(queue, routing.New(routing.Options{}), quarantine.New(quarantine.Options{}), random)
+}
+
 // serveHTTP serves until the context ends, then closes the listener and all
 // connections. A drain has let the requests finish before.
 func serveHTTP(ctx context.Context, s *http.Server, l net.Listener) error {
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -53,12 +53,15 @@
 // requests, and ends Run when the requests in flight have their answers or the
 // deadline has come.
 func (d *Daemon) Drain(ctx context.Context, deadline time.Time) {
-	d.drainAt.Do(func() {
+	d.drainOnce.Do(func() {
 		if deadline.IsZero() {
 			deadline = time.Now().Add(d.Settings.DrainTimeout.Or(defaultDrainTimeout))
 		}
-		d.drainBy.Store(&deadline)
-		d.post(ctx, func(c *controlState, _ time.Time) { c.view.Draining = true })
+		d.post(ctx, func(c *controlState, _ time.Time) {
+			c.view.Draining = true
+			c.daemons.Drain()
+		})
+		close(d.draining)
 		d.Log.Info("drain started", "Deadline", deadline)
 		go d.finishDrain(ctx, deadline)
 	})
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -4,20 +4,18 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
-	"github.com/juju/errors"
+	"github.com/cespare/xxhash/v2"
 
 	"apricotbridge/internal/engine"
-	"apricotbridge/internal/instances"
+	"apricotbridge/internal/stream"
 	"apricotbridge/pkg/config"
 	"apricotbridge/pkg/problem"
 )
 
-// maxAttempts bounds the attempts of one model request.
-const maxAttempts = 4
-
 // modelBody is the part of a completion request that the daemon reads; the
 // engine gets the whole body.
 type modelBody struct {
@@ -26,6 +24,7 @@
 	Messages  []modelMessage  `json:"messages"`
 	MaxTokens int             `json:"max_tokens"`
 	N         int             `json:"n"`
+	User      string          `json:"user"`
 	Stream    bool            `json:"stream"`
 }
 
@@ -37,15 +36,20 @@
 // modelCall is a checked completion request.
 type modelCall struct {
 	id           string
-	organisation *config.Organisation
+	organisation string
 	service      *config.Service
-	rank         config.Rank
+	rank         string
 	priority     int
 	body         []byte
+	prompt       string
+	session      string
+	maxTokens    int
 	chat         bool
 	stream       bool
 	model        string
 	received     time.Time
+	// durable is set for a draft that was accepted with 202.
+	durable bool
 }
 
 func (d *Daemon) serveCompletion(w http.ResponseWriter, r *http.Request, c *caller) *problem.Problem {
@@ -68,16 +72,21 @@
 	if p != nil {
 		return p
 	}
-	a := newAnswer(call.id, call.organisation.Name, call.model, chat, call.received)
-	d.answers.start(context.WithoutCancel(r.Context()), a, func(ctx context.Context) *problem.Problem {
-		return d.runModelCall(ctx, call, a)
-	})
+	a := d.startModelCall(call)
 	if call.stream {
 		return d.sendStream(w, r, a, 0)
 	}
 	return d.sendWhole(w, r, a)
 }
 
+// startModelCall runs a request on its own, so that a caller which was cut off
+// can resume.
+func (d *Daemon) startModelCall(call *modelCall) *answer {
+	a := newAnswer(call.id, call.organisation, call.model, call.chat, call.received)
+	d.answers.start(d.work, a, func(ctx context.Context) *problem.Problem { return d.runModelCall(ctx, call, a) })
+	return a
+}
+
 // checkModelCall checks a completion request. Nothing is dispatched for one that
 // is at fault.
 func checkModelCall(c *caller, r *http.Request, body []byte, chat bool) (*modelCall, *problem.Problem) {
@@ -102,88 +111,87 @@
 		return nil, problem.New(problem.UnknownModel, "model %q is not configured", b.Model)
 	}
 	call := &modelCall{
-		id: c.id, organisation: c.organisation, service: s, body: body, chat: chat,
-		stream: b.Stream, model: b.Model, received: c.received,
+		id: c.id, organisation: c.organisation.Name, service: s, body: body, chat: chat, prompt: b.text(),
+		session: b.session(), maxTokens: b.MaxTokens, stream: b.Stream, model: b.Model, received: c.received,
 	}
 	var p *problem.Problem
 	call.rank, call.priority, p = rankOf(c, r, s)
 	return call, p
 }
 
-// rankOf returns the rank that a request asks for, or the default of its service.
-func rankOf(c *caller, r *http.Request, s *config.Service) (config.Rank, int, *problem.Problem) {
-	if !allows(c.organisation.Services, s.Name) {
-		return config.Rank{}, 0, problem.New(problem.Forbidden, "organisation %q may not use service %q", c.organisation.Name, s.Name)
-	}
-	name := orString(r.Header.Get("X-Rank"), s.DefaultRank)
-	rank, i, ok := c.view.Index.Rank(name)
-	if !ok {
-		return rank, 0, problem.New(problem.BadRequest, "rank %q is not configured", name)
+// text returns the prompt as one text, for hashes and the count of tokens.
+func (b modelBody) text() string {
+	if len(b.Messages) == 0 {
+		return string(b.Prompt)
 	}
-	if !allows(c.organisation.Ranks, name) {
-		return rank, 0, problem.New(problem.Forbidden, "organisation %q may not ask for rank %q", c.organisation.Name, name)
+	var text strings.Builder
+	for _, m := range b.Messages {
+		text.WriteString(m.Role + ": " + m.Content + "\n")
 	}
-	return rank, i, nil
+	return text.String()
 }
 
-// runModelCall produces the answer: it runs attempts until one is whole. Each
-// attempt goes on after the tokens of those before it.
-func (d *Daemon) runModelCall(ctx context.Context, call *modelCall, a *answer) *problem.Problem {
-	tried := map[string]bool{}
-	for attempt := 1; attempt <= maxAttempts; attempt++ {
-		server, ok := d.route(call.id, call.service.Name, attempt, tried)
-		if !ok {
-			return noCapacity(call.service.Name)
-		}
-		tried[server.ID] = true
-		err := d.attempt(ctx, call, a, server)
-		if err == nil {
-			return nil
-		}
-		if errors.Is(err, engine.ErrRejected) {
-			return problem.New(problem.BadRequest, "backend server rejected the request: %v", err)
+// session groups the turns of one conversation by the messages up to the first
+// one of the user, which all turns share.
+func (b modelBody) session() string {
+	if b.User != "" {
+		return b.User
+	}
+	h := xxhash.New()
+	for _, m := range b.Messages {
+		_, _ = h.WriteString(m.Role + ": " + m.Content + "\n") // Never fails.
+		if m.Role == "user" {
+			break
 		}
-		d.Log.Info("attempt failed", "RequestID", call.id, "Attempt", attempt, "Server", server.ID, "Error", err.Error())
 	}
-	return problem.New(problem.BackendFailed, "%d attempts failed", maxAttempts)
+	return strconv.FormatUint(h.Sum64(), 36)
 }
 
-func (d *Daemon) attempt(ctx context.Context, call *modelCall, a *answer, server instances.Instance) error {
-	d.flights.begin(server.ID)
-	defer d.flights.end(server.ID)
-	return d.Engine.Stream(ctx, server.Address, engine.Request{
-		Stream: call.id, Body: call.body, Chat: call.chat, Priority: call.priority, Prior: a.generated(),
-	}, func(t engine.Token) error {
-		a.append(t)
-		return nil
-	})
-}
-
-func noCapacity(service string) *problem.Problem {
-	p := problem.New(problem.NoCapacity, "no backend server of %q can take the request", service)
-	p.RetryAfter = time.Second
-	return p
+// rankOf returns the rank that a request asks for, or the default of its service.
+func rankOf(c *caller, r *http.Request, s *config.Service) (name string, priority int, p *problem.Problem) {
+	if !allows(c.organisation.Services, s.Name) {
+		return "", 0, problem.New(problem.Forbidden, "organisation %q may not use service %q", c.organisation.Name, s.Name)
+	}
+	name = orString(r.Header.Get("X-Rank"), s.DefaultRank)
+	priority, ok := c.view.Index.Rank(name)
+	if !ok {
+		return "", 0, problem.New(problem.BadRequest, "rank %q is not configured", name)
+	}
+	if !allows(c.organisation.Ranks, name) {
+		return "", 0, problem.New(problem.Forbidden, "organisation %q may not ask for rank %q", c.organisation.Name, name)
+	}
+	return name, priority, nil
 }
 
-// sendWhole waits for the whole answer and sends it as one JSON body.
+// sendWhole waits for the complete answer and sends it as one JSON body.
 func (d *Daemon) sendWhole(w http.ResponseWriter, r *http.Request, a *answer) *problem.Problem {
 	for {
-		tokens, done, p, changed := a.read(0)
-		if done && p != nil {
-			return p
-		}
-		if done {
-			writeJSON(w, http.StatusOK, wholeBody(a, tokens))
+		got := a.read(0)
+		switch {
+		case got.problem != nil:
+			return got.problem
+		case got.moved != "":
+			w.Header().Set("Location", "http://"+got.moved+"/v1/requests/"+a.id)
+			writeJSON(w, http.StatusAccepted, acceptedBody{RequestID: a.id, Entry: got.moved})
+			return nil
+		case got.whole:
+			writeJSON(w, http.StatusOK, wholeBody(a, got.events))
 			return nil
 		}
 		select {
-		case <-changed:
+		case <-got.changed:
 		case <-r.Context().Done():
-			return problem.New(problem.Internal, "caller went away")
+			return nil // The caller is gone and may fetch the answer by its id.
 		}
 	}
 }
 
+// acceptedBody is the answer to a request that goes on without its caller.
+type acceptedBody struct {
+	RequestID string `json:"RequestID"`
+	Entry     string `json:"Entry,omitempty"`
+}
+
 // completion is an OpenAI-compatible answer, whole or a chunk.
 type completion struct {
 	ID      string        `json:"id"`
@@ -206,15 +214,15 @@
 	Content string `json:"content"`
 }
 
-func wholeBody(a *answer, tokens []engine.Token) completion {
+func wholeBody(a *answer, events []stream.Event) completion {
 	var text strings.Builder
-	for _, t := range tokens {
-		text.WriteString(t.Text)
+	for _, e := range events {
+		text.WriteString(e.Text)
 	}
-	last := tokens[len(tokens)-1]
 	all := text.String()
-	c := completion{ID: a.id, Object: "text_completion", Created: a.created.Unix(), Model: a.model, Usage: last.Usage}
-	ch := choice{Finish: &last.Finish}
+	_, finish, usage := a.last()
+	c := completion{ID: a.id, Object: "text_completion", Created: a.created.Unix(), Model: a.model, Usage: usage}
+	ch := choice{Finish: &finish}
 	if a.chat {
 		c.Object = "chat.completion"
 		ch.Message = &modelMessage{Role: "assistant", Content: all}
@@ -225,17 +233,17 @@
 	return c
 }
 
-func chunkBody(a *answer, t engine.Token) completion {
-	c := completion{ID: a.id, Object: "text_completion", Created: a.created.Unix(), Model: a.model, Usage: t.Usage}
+func chunkBody(a *answer, e stream.Event) completion {
+	c := completion{ID: a.id, Object: "text_completion", Created: a.created.Unix(), Model: a.model}
 	ch := choice{}
-	if t.Finish != "" {
-		ch.Finish = &t.Finish
+	if last, finish, usage := a.last(); e.Sequence == last {
+		ch.Finish, c.Usage = &finish, usage
 	}
 	if a.chat {
 		c.Object = "chat.completion.chunk"
-		ch.Delta = &choiceContent{Content: t.Text}
+		ch.Delta = &choiceContent{Content: e.Text}
 	} else {
-		ch.Text = &t.Text
+		ch.Text = &e.Text
 	}
 	c.Choices = []choice{ch}
 	return c
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -8,18 +8,36 @@
 
 	"github.com/juju/errors"
 	"github.com/kataras/iris/v12"
+
+	"apricotbridge/internal/dispatch"
 )
 
 // Status is what a daemon tells operators of itself.
 type Status struct {
-	Daemon        string         `json:"Daemon"`
-	Region        string         `json:"Region"`
-	Place         string         `json:"Place"`
-	CallerAddress string         `json:"CallerAddress"`
-	Draining      bool           `json:"Draining"`
-	Revision      int64          `json:"Revision"`
-	Servers       []ServerStatus `json:"Servers"`
-	Daemons       []Registration `json:"Daemons"`
+	Daemon        string          `json:"Daemon"`
+	Region        string          `json:"Region"`
+	Place         string          `json:"Place"`
+	CallerAddress string          `json:"CallerAddress"`
+	Draining      bool            `json:"Draining"`
+	Revision      int64           `json:"Revision"`
+	Confirmed     string          `json:"Confirmed"`
+	Queued        int             `json:"Queued"`
+	Running       int             `json:"Running"`
+	Counts        dispatch.Counts `json:"Counts"`
+	Queues        []QueueStatus   `json:"Queues"`
+	Servers       []ServerStatus  `json:"Servers"`
+	Daemons       []DaemonStatus  `json:"Daemons"`
+}
+
+// QueueStatus is the waiting work of one organisation in one rank of a service.
+type QueueStatus struct {
+	Service           string  `json:"Service"`
+	Rank              string  `json:"Rank"`
+	Organisation      string  `json:"Organisation"`
+	Queued            int     `json:"Queued"`
+	OldestWaitSeconds float64 `json:"OldestWaitSeconds"`
+	MeanWaitSeconds   float64 `json:"MeanWaitSeconds"`
+	Tokens            float64 `json:"Tokens"`
 }
 
 // ServerStatus is a backend server as the daemon knows it.
@@ -29,15 +47,30 @@
 	Service     string `json:"Service"`
 	Place       string `json:"Place"`
 	State       string `json:"State"`
+	Suspect     bool   `json:"Suspect"`
 	InFlight    int    `json:"InFlight"`
 }
 
+// DaemonStatus is another daemon as this one knows it.
+type DaemonStatus struct {
+	Daemon        string `json:"Daemon"`
+	Place         string `json:"Place"`
+	Region        string `json:"Region"`
+	CallerAddress string `json:"CallerAddress"`
+	PeerAddress   string `json:"PeerAddress"`
+	Draining      bool   `json:"Draining"`
+}
+
 // serveOperators serves the operator API until the context ends.
 func (d *Daemon) serveOperators(ctx context.Context, l net.Listener) error {
 	app := iris.New()
 	app.Logger().SetLevel("disable")
 	app.UseRouter(d.checkOperator)
 	app.Get("/status", func(c iris.Context) { _ = c.JSON(d.status()) }) // An operator that has gone needs no answer.
+	app.Get("/metrics", func(c iris.Context) {
+		c.ContentType("text/plain; version=0.0.4")
+		d.metrics.write(c.ResponseWriter(), d.dispatcher.Status(time.Now()))
+	})
 	app.Post("/drain", func(c iris.Context) {
 		var deadline time.Time
 		if span, err := time.ParseDuration(c.URLParam("within")); err == nil {
@@ -66,17 +99,30 @@
 }
 
 func (d *Daemon) status() Status {
+	now := time.Now()
 	v := d.view.Load()
+	work := d.dispatcher.Status(now)
 	s := Status{
 		Daemon: d.Settings.Daemon, Region: d.Settings.Region, Place: d.Settings.Place, CallerAddress: d.addrs.caller,
-		Draining: v.Draining, Revision: v.Revision, Daemons: v.Peers,
+		Draining: v.Draining, Revision: v.Revision, Confirmed: v.Confirmed, Queued: work.Queue.Queued,
+		Running: work.Queue.Running, Counts: work.Counts,
+	}
+	for _, f := range work.Queue.Flows {
+		s.Queues = append(s.Queues, QueueStatus{
+			Service: f.Service, Rank: f.Rank, Organisation: f.Organisation, Queued: f.Queued,
+			OldestWaitSeconds: f.OldestWait.Seconds(), MeanWaitSeconds: f.MeanWait.Seconds(), Tokens: f.Tokens,
+		})
 	}
-	d.flights.mu.Lock()
-	defer d.flights.mu.Unlock()
-	for _, server := range v.Servers {
+	for _, m := range v.Members {
 		s.Servers = append(s.Servers, ServerStatus{
-			Server: server.ID, Incarnation: server.Incarnation, Service: server.Service, Place: server.Place,
-			State: string(server.State), InFlight: d.flights.count[server.ID],
+			Server: m.Server, Incarnation: m.Incarnation, Service: m.Service, Place: m.Place,
+			State: m.State.String(), Suspect: m.Suspect(now), InFlight: work.InFlight[m.Server],
+		})
+	}
+	for _, other := range v.Daemons {
+		s.Daemons = append(s.Daemons, DaemonStatus{
+			Daemon: other.ID, Place: other.Place, Region: other.Region, CallerAddress: other.CallerAddress,
+			PeerAddress: other.PeerAddress, Draining: other.Draining,
 		})
 	}
 	return s
--- a/internal/entry/order.go
+++ b/internal/entry/order.go
@@ -1,11 +1,17 @@
 package entry
 
 import (
+	"context"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/juju/errors"
 
+	"apricotbridge/internal/admission"
+	"apricotbridge/internal/dispatch"
+	"apricotbridge/internal/quarantine"
+	"apricotbridge/internal/routing"
 	"apricotbridge/internal/service"
 	"apricotbridge/pkg/config"
 	"apricotbridge/pkg/problem"
@@ -27,10 +33,12 @@
 	if s == nil || s.Kind != config.ServiceKindPlain {
 		return problem.New(problem.UnknownService, "service %q is not configured", r.PathValue("service"))
 	}
-	if _, _, p := rankOf(c, r, s); p != nil {
+	rank, _, p := rankOf(c, r, s)
+	if p != nil {
 		return p
 	}
-	if key := r.Header.Get("Idempotency-Key"); len(key) > maxKeyBytes {
+	key := r.Header.Get("Idempotency-Key")
+	if len(key) > maxKeyBytes {
 		return problem.New(problem.KeyTooLong, "Idempotency-Key has %d bytes; the limit is %d", len(key), maxKeyBytes)
 	}
 	limit := int64(defaultPlainBytes)
@@ -41,11 +49,15 @@
 	if p != nil {
 		return p
 	}
-	call := service.Call{
-		Method: r.Method, Path: strings.TrimPrefix(r.URL.RequestURI(), "/services/"+s.Name),
-		Header: passedHeaders(r.Header), Body: body, Timeout: serviceTimeout(s),
+	q := plainCall{
+		id: c.id, organisation: c.organisation.Name, rank: rank, service: s, received: c.received, key: key,
+		repeatable: repeatable(s, r.Method, key),
+		call: service.Call{
+			Method: r.Method, Path: strings.TrimPrefix(r.URL.RequestURI(), "/services/"+s.Name),
+			Header: passedHeaders(r.Header), Body: body, Timeout: serviceTimeout(s),
+		},
 	}
-	a, p := d.callPlain(r, c, s, call)
+	a, p := d.callPlain(r.Context(), q)
 	if p != nil {
 		return p
 	}
@@ -53,6 +65,34 @@
 	return nil
 }
 
+// plainCall is a checked call of a plain service.
+type plainCall struct {
+	id           string
+	organisation string
+	rank         string
+	service      *config.Service
+	received     time.Time
+	key          string
+	repeatable   bool
+	call         service.Call
+}
+
+// fingerprint returns what tells this call from others of its service.
+func (q plainCall) fingerprint() []byte {
+	return append([]byte(q.call.Method+" "+q.call.Path+"\n"+q.key+"\n"), q.call.Body...)
+}
+
+// repeatable reports whether a call may be sent again after it may have run:
+// methods that are safe by RFC 9110, services that say so, and keyed calls of
+// services that recognise the key.
+func repeatable(s *config.Service, method, key string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions:
+		return true
+	}
+	return s.Repeat == config.ServiceRepeatAlways || s.Repeat == config.ServiceRepeatByKey && key != ""
+}
+
 func passedHeaders(h http.Header) http.Header {
 	passed := h.Clone()
 	for _, name := range hopHeaders {
@@ -61,31 +101,71 @@
 	return passed
 }
 
-// callPlain runs a call at one backend server. A second server is tried only
-// when the first certainly did not get the call.
-func (d *Daemon) callPlain(r *http.Request, c *caller, s *config.Service, call service.Call) (*service.Answer, *problem.Problem) {
-	tried := map[string]bool{}
-	for attempt := 1; attempt <= maxAttempts; attempt++ {
-		server, ok := d.route(c.id, s.Name, attempt, tried)
+// callPlain runs a call at one backend server. Another server is tried only when
+// the first certainly did not get the call, or when the call may be repeated.
+func (d *Daemon) callPlain(ctx context.Context, q plainCall) (*service.Answer, *problem.Problem) {
+	w := &dispatch.Work{
+		Request: admission.Request{
+			ID: q.id, Organisation: q.organisation, Rank: q.rank, Service: q.service.Name, Arrived: q.received,
+		},
+		Call: routing.Call{
+			RequestID: q.id, Service: q.service.Name, Rank: q.rank, Place: d.Settings.Place,
+			Region: d.Settings.Region, Plain: true,
+		},
+		Fingerprint: quarantine.FingerprintOf(q.organisation, q.service.Name, q.fingerprint()),
+	}
+	if p := d.dispatcher.Submit(time.Now(), w); p != nil {
+		return nil, p
+	}
+	client := d.Order
+	if q.repeatable {
+		client = d.Service
+	}
+	for attempt := 1; ; attempt++ {
+		grant, ok := d.turn(ctx, w)
 		if !ok {
-			return nil, noCapacity(s.Name)
+			return nil, problem.New(problem.NoCapacity, "the caller went away before the call was sent")
+		}
+		if grant.Problem != nil {
+			return nil, grant.Problem
 		}
-		tried[server.ID] = true
-		d.flights.begin(server.ID)
-		a, err := d.Order.Do(r.Context(), server.Address, call)
-		d.flights.end(server.ID)
-		switch {
-		case err == nil:
+		d.logRouting(q.id, q.service.Name, attempt, grant)
+		a, err := client.Do(ctx, grant.Server.Address, q.call)
+		if err == nil {
+			d.dispatcher.Finish(time.Now(), q.id, admission.Usage{ID: q.id, OutputTokens: 1}, routing.Answer{})
 			return a, nil
-		case errors.Is(err, service.ErrNotStarted):
-			d.Log.Info("attempt failed", "RequestID", c.id, "Attempt", attempt, "Server", server.ID, "Error", err.Error())
-			continue
-		case errors.Is(err, service.ErrTooLarge):
-			return nil, problem.New(problem.BackendFailed, "%v", err)
 		}
-		return nil, problem.New(problem.OutcomeUnknown, "backend server did not answer: %v", err)
+		d.Log.Info("attempt ended early", "RequestID", q.id, "Server", grant.Server.ID, "Error", err.Error())
+		if p := d.plainFailed(ctx, q, grant.Server, err, attempt); p != nil {
+			return nil, p
+		}
+	}
+}
+
+// plainFailed returns the problem with which a call ends after a failed attempt,
+// or nil when another attempt follows.
+func (d *Daemon) plainFailed(ctx context.Context, q plainCall, server routing.Server, err error, attempt int) *problem.Problem {
+	now := time.Now()
+	if ctx.Err() == nil {
+		d.suspect(server)
+	}
+	notStarted := errors.Is(err, service.ErrNotStarted)
+	if errors.Is(err, service.ErrTooLarge) || !notStarted && !q.repeatable || attempt >= maxAttempts {
+		d.dispatcher.Cancel(now, q.id)
+	}
+	switch {
+	case errors.Is(err, service.ErrTooLarge):
+		return problem.New(problem.BackendFailed, "%v", err)
+	case !notStarted && !q.repeatable:
+		return problem.New(problem.OutcomeUnknown, "backend server did not answer: %v", err)
+	case attempt >= maxAttempts:
+		return problem.New(problem.BackendFailed, "%d attempts failed", attempt)
+	}
+	ending := dispatch.Broken
+	if notStarted {
+		ending = dispatch.NotStarted
 	}
-	return nil, noCapacity(s.Name)
+	return d.dispatcher.Retry(now, q.id, ending, 0)
 }
 
 func writeAnswer(w http.ResponseWriter, a *service.Answer) {
--- a/internal/entry/sse.go
+++ b/internal/entry/sse.go
@@ -10,39 +10,42 @@
 	"apricotbridge/pkg/problem"
 )
 
-// sendStream sends the tokens after the given number as server-sent events. The
-// id of each event is the number of its token, for Last-Event-ID. Before the
-// first event a problem is a plain answer; after it, it is an event of its own
-// and the stream ends without "[DONE]".
-func (d *Daemon) sendStream(w http.ResponseWriter, r *http.Request, a *answer, after int) *problem.Problem {
+// sendStream sends the events after the given sequence as server-sent events.
+// The id of each event is its sequence, for Last-Event-ID. Before the first event
+// a problem is a plain answer; after it, it is an event of its own and the stream
+// ends without "[DONE]".
+func (d *Daemon) sendStream(w http.ResponseWriter, r *http.Request, a *answer, after int64) *problem.Problem {
 	flush := http.NewResponseController(w)
 	begun := false
 	for {
-		tokens, done, p, changed := a.read(after)
-		if !begun && (len(tokens) > 0 || done && p == nil) {
+		got := a.read(after)
+		if !begun && got.problem != nil && len(got.events) == 0 {
+			return got.problem
+		}
+		if !begun && (len(got.events) > 0 || got.whole || got.moved != "") {
 			w.Header().Set("Content-Type", "text/event-stream")
 			w.Header().Set("Cache-Control", "no-store")
 			w.WriteHeader(http.StatusOK)
 			begun = true
 		}
-		for _, t := range tokens {
-			data, err := json.Marshal(chunkBody(a, t))
+		for _, e := range got.events {
+			data, err := json.Marshal(chunkBody(a, e))
 			if err != nil {
 				return problem.New(problem.Internal, "encode chunk: %v", err)
 			}
-			if !sendEvent(w, t.Number, data) {
+			if !sendEvent(w, e.Sequence, data) {
 				return nil
 			}
-			after = t.Number
+			after = e.Sequence
 		}
-		if done {
-			return endStream(w, begun, p, a.id)
+		if got.whole || got.problem != nil || got.moved != "" {
+			return endStream(w, got, a.id)
 		}
 		if begun {
 			_ = flush.Flush() // A caller that has gone ends its context.
 		}
 		select {
-		case <-changed:
+		case <-got.changed:
 		case <-r.Context().Done():
 			return nil // The caller is gone and may resume.
 		}
@@ -51,25 +54,30 @@
 
 // sendEvent reports whether the caller is still there. One that has gone may
 // resume.
-func sendEvent(w http.ResponseWriter, id int, data []byte) bool {
+func sendEvent(w http.ResponseWriter, id int64, data []byte) bool {
 	_, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", id, data)
 	return err == nil
 }
 
-func endStream(w http.ResponseWriter, begun bool, p *problem.Problem, id string) *problem.Problem {
-	if p == nil {
+// endStream ends a stream that has begun: with "[DONE]" when the answer is
+// complete, with an event "moved" when another daemon continues it, and with an
+// event "error" otherwise.
+func endStream(w http.ResponseWriter, got reading, id string) *problem.Problem {
+	if got.whole {
 		_, _ = io.WriteString(w, "data: [DONE]\n\n") // A caller that has gone may resume.
 		return nil
 	}
-	if !begun {
-		return p
+	name, body := "error", any(got.problem)
+	if got.problem == nil {
+		name, body = "moved", acceptedBody{RequestID: id, Entry: got.moved}
+	} else {
+		got.problem.RequestID = id
 	}
-	p.RequestID = id
-	data, err := json.Marshal(p)
+	data, err := json.Marshal(body)
 	if err != nil { // Strings and numbers always encode.
 		data = []byte("{}")
 	}
-	_, _ = fmt.Fprintf(w, "event: error\ndata: %s\n\n", data) // A caller that has gone may resume.
+	_, _ = fmt.Fprintf(w, "event: %s\ndata: %s\n\n", name, data) // A caller that has gone may resume.
 	return nil
 }
 
@@ -77,13 +85,13 @@
 // from the token after Last-Event-ID on.
 func (d *Daemon) serveAnswer(w http.ResponseWriter, r *http.Request, c *caller) *problem.Problem {
 	id := r.PathValue("id")
-	a := d.answers.find(id)
-	if a == nil || a.organisation != c.organisation.Name {
+	a := d.answers.find(id, c.organisation.Name)
+	if a == nil {
 		return problem.New(problem.NotFound, "request %q is not known here", id)
 	}
-	after := 0
+	after := int64(0)
 	if last := r.Header.Get("Last-Event-ID"); last != "" {
-		n, err := strconv.Atoi(last)
+		n, err := strconv.ParseInt(last, 10, 64)
 		if err != nil || n < 0 {
 			return problem.New(problem.BadRequest, "header Last-Event-ID is not a number")
 		}
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -1,11 +1,10 @@
 package entry
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"time"
 
-	"apricotbridge/internal/instances"
+	"apricotbridge/internal/membership"
+	"apricotbridge/internal/routing"
 	"apricotbridge/pkg/config"
 )
 
@@ -14,93 +13,54 @@
 type View struct {
 	// Revision is the configuration revision in force; 0 means none yet.
 	Revision int64
-	Index    *Index
-	Servers  []instances.Instance
-	Peers    []Registration
+	// Confirmed says how sure the revision is.
+	Confirmed string
+	Index     *Index
+	Members   []membership.Member
+	Table     *routing.Table
+	// Daemons are all known daemons, this one included.
+	Daemons []membership.Daemon
+	// Entries are the daemons that callers of this place should use, in order.
+	Entries  []membership.Daemon
 	Draining bool
+	// ends has the deadlines of leaving servers.
+	ends map[string]time.Time
 }
 
-// Registration is what a daemon writes of itself to the key-value service.
-type Registration struct {
-	Daemon          string `json:"Daemon"`
-	Region          string `json:"Region"`
-	Place           string `json:"Place"`
-	CallerAddress   string `json:"CallerAddress"`
-	PeerAddress     string `json:"PeerAddress"`
-	OperatorAddress string `json:"OperatorAddress"`
-	Draining        bool   `json:"Draining,omitempty"`
-}
-
-// Index is a configuration prepared for look-ups.
-type Index struct {
-	Config        *config.Configuration
-	services      map[string]*config.Service
-	models        map[string]*config.Service
-	ranks         map[string]int
-	organisations map[string]*config.Organisation
-}
-
-// NewIndex prepares a configuration for look-ups.
-func NewIndex(c *config.Configuration) *Index {
-	x := &Index{
-		Config: c, services: map[string]*config.Service{}, models: map[string]*config.Service{},
-		ranks: map[string]int{}, organisations: map[string]*config.Organisation{},
+// routingTable builds the table of servers for decisions.
+func (c *controlState) routingTable(now time.Time) *routing.Table {
+	if c.view.Index == nil {
+		return routing.NewTable(nil, nil)
 	}
-	for i := range c.Services {
-		s := &c.Services[i]
-		x.services[s.Name] = s
-		if s.Kind != config.ServiceKindModel {
+	x := c.view.Index
+	var servers []routing.Server
+	for _, m := range c.members.Snapshot() {
+		if m.State == membership.Gone {
 			continue
 		}
-		x.models[s.Name] = s
-		for _, model := range s.Models {
-			x.models[model] = s
+		s := routing.Server{
+			ID: m.Server, Incarnation: m.Incarnation, Address: m.Address, Service: m.Service, Place: m.Place,
+			Region: x.Region(m.Place), Class: m.Class, PricePerHour: c.prices[m.Server],
+			Accepting: m.State == membership.Serving, Suspect: m.Suspect(now), Slots: defaultSlots,
 		}
-	}
-	for i, r := range c.Ranks {
-		x.ranks[r.Name] = i
-	}
-	for i := range c.Organisations {
-		for _, hash := range c.Organisations[i].TokenHashes {
-			x.organisations[hash] = &c.Organisations[i]
+		if class := x.Class(m.Class); class != nil {
+			s.Slots, s.TokensPerSecond = class.Slots, class.TokensPerSecond
+			s.PrefillTokensPerSecond, s.CacheTokens = class.PrefillTokensPerSecond, class.CacheTokens
 		}
+		servers = append(servers, s)
 	}
-	return x
-}
-
-// Organisation returns the organisation of a bearer token, or nil.
-func (x *Index) Organisation(token string) *config.Organisation {
-	sum := sha256.Sum256([]byte(token))
-	return x.organisations[hex.EncodeToString(sum[:])]
-}
-
-// Model returns the service that serves a model, or nil.
-func (x *Index) Model(name string) *config.Service { return x.models[name] }
-
-// Service returns a service by name, or nil.
-func (x *Index) Service(name string) *config.Service { return x.services[name] }
-
-// Rank returns the rank and its position, 0 being the most urgent.
-func (x *Index) Rank(name string) (config.Rank, int, bool) {
-	i, ok := x.ranks[name]
-	if !ok {
-		return config.Rank{}, 0, false
+	links := make([]routing.Link, 0, len(x.Config.Links))
+	for _, l := range x.Config.Links {
+		links = append(links, routing.Link{
+			From: l.From, To: l.To, Delay: time.Duration(l.Delay),
+			PricePerGigabyte: l.PricePerGigabyte, BytesPerSecond: float64(l.BytesPerSecond),
+		})
 	}
-	return x.Config.Ranks[i], i, true
+	return routing.NewTable(servers, links)
 }
 
-// allows reports whether a list of names permits one; an empty list permits all.
-func allows(list []string, name string) bool {
-	if len(list) == 0 {
-		return true
-	}
-	for _, n := range list {
-		if n == name {
-			return true
-		}
-	}
-	return false
-}
+// defaultSlots is used for a server whose class is not configured.
+const defaultSlots = 8
 
 // serviceTimeout is the longest time for one call of a plain service.
 func serviceTimeout(s *config.Service) time.Duration {
--- /dev/null
+++ b/internal/routing/capacity.go
@@ -0,0 +1,44 @@
+package routing
+
+import (
+	"slices"
+	"time"
+)
+
+// Services returns the names of the services that have servers, in order.
+func (t *Table) Services() []string {
+	names := make([]string, 0, len(t.services))
+	for name := range t.services {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Accepting returns how many servers of a service may take new work.
+func (r *Router) Accepting(t *Table, service string) int {
+	n := 0
+	for _, i := range t.services[service] {
+		if t.servers[i].Accepting {
+			n++
+		}
+	}
+	return n
+}
+
+// FreeSlots estimates how many more requests the servers of a service can run at
+// once. The load of other daemons is an estimate as well, so that a fraction of a
+// slot is rounded to the nearest number rather than left unused.
+func (r *Router) FreeSlots(now time.Time, t *Table, service string) int {
+	r.sync(t)
+	free := 0
+	for _, i := range t.services[service] {
+		s, st := &t.servers[i], r.view[i]
+		if !s.Accepting || s.Suspect || st.reserved {
+			continue
+		}
+		const half = 0.5
+		free += max(0, int(st.slots-r.load(now, st)+half))
+	}
+	return free
+}
