--- a/pkg/config/duration.go
+++ b/pkg/config/duration.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 	"time"
 )
 
@@ -34,7 +35,10 @@
 			return json.Marshal(fmt.Sprintf("%d%s", span/unit.size, unit.name))
 		}
 	}
-	return json.Marshal(fmt.Sprintf("%gms", float64(span)/float64(time.Millisecond)))
+	// A float would lose digits, and its exponent is not in the schema.
+	whole, rest := span/time.Millisecond, span%time.Millisecond
+	text := strings.TrimRight(fmt.Sprintf("%d.%06d", whole, rest), "0")
+	return json.Marshal(strings.TrimSuffix(text, ".") + "ms")
 }
 
 // UnmarshalJSON reads the form that MarshalJSON writes.
@@ -45,8 +49,14 @@
 	}
 	span, err := time.ParseDuration(text)
 	if err != nil {
-		return fmt.Errorf("duration %q is not a number with a unit such as \"1.9s\"", text)
+		return fmt.Errorf("duration %q is not a number with a unit such as \"1.9s\", or is too long", text)
 	}
 	*d = Duration(span)
 	return nil
 }
+
+// Defaults of time spans that a configuration may leave out.
+const (
+	DefaultRetention      = 24 * time.Hour
+	DefaultServiceTimeout = 30 * time.Second
+)
