demo, cmd: test the system with in-process and separate processes

Found by the first test and mended: the retry budget started empty, so that the first failure after a start was final; it now starts with its burst. The usage of an answer was changed after readers had it; it is now copied once. A Timer of go-metrics starts a goroutine that never ends; histograms replace it.

--- a/cmd/apricotbridge/serve.go
+++ b/cmd/apricotbridge/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"os"
 	"time"
@@ -46,6 +47,13 @@
 	ended := make(chan error, 1)
 	go func() { ended <- d.Run(ctx) }()
 	select {
+	case err := <-ended:
+		return fault(err)
+	case <-d.Ready():
+		// Lets a script that starts it on port 0 learn the addresses.
+		fmt.Println(d.CallerAddress(), d.OperatorAddress())
+	}
+	select {
 	case err := <-ended:
 		return fault(err)
 	case <-stop.Done():
--- a/internal/admission/preempt.go
+++ b/internal/admission/preempt.go
@@ -101,23 +101,24 @@
 	}
 }
 
-// RetryBudget bounds the system's own retries to a share of the requests.
+// RetryBudget bounds the system's own retries to a share of the requests. It
+// starts with its burst, so that a failure right after the start is retried.
 type RetryBudget struct {
 	// Share of requests that may be retried.
 	Share float64
 	// Burst is the number of retries that can be saved.
-	Burst  float64
-	tokens float64
+	Burst float64
+	spent float64
 }
 
 // Requested adds the share of one request.
-func (b *RetryBudget) Requested() { b.tokens = min(b.Burst, b.tokens+b.Share) }
+func (b *RetryBudget) Requested() { b.spent = max(0, b.spent-b.Share) }
 
 // Take reports whether a retry may be sent, and counts it.
 func (b *RetryBudget) Take() bool {
-	if b.tokens < 1 {
+	if b.spent > b.Burst-1 {
 		return false
 	}
-	b.tokens--
+	b.spent++
 	return true
 }
--- a/internal/demo/platform.go
+++ b/internal/demo/platform.go
@@ -292,3 +292,13 @@
 
 // token returns the bearer token of an organisation in the sample configurations.
 func token(organisation string) string { return fmt.Sprintf("%s-token", organisation) }
+
+// running returns how many streams an engine runs.
+func (p *Platform) running(id string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.servers[id]; s != nil && s.engine != nil {
+		return s.engine.Running()
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/demo/platform_test.go
@@ -0,0 +1,148 @@
+package demo
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr/testr"
+	"go.uber.org/goleak"
+
+	"apricotbridge/internal/standin"
+	"apricotbridge/samples"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m, goleak.IgnoreCurrent()) }
+
+// small starts two daemons before engines at asan and bhaktapur.
+func small(t *testing.T) *Platform {
+	t.Helper()
+	p, err := NewPlatform(t.Context(), testr.New(t), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		p.Close()
+		http.DefaultClient.CloseIdleConnections()
+	})
+	if err := p.Apply(t.Context(), samples.Shrestha); err != nil {
+		t.Fatal(err)
+	}
+	for i, place := range []string{"asan", "bhaktapur"} {
+		e := &standin.Engine{Slots: 4, TokenTime: 5 * time.Millisecond, CacheTokens: 1 << 16}
+		b := Backend{ID: fmt.Sprintf("engine-%d", i), Service: "sahayak-llm", Place: place, Region: "bagmati", Class: "accelerator-8"}
+		if err := p.StartEngine(b, e); err != nil {
+			t.Fatal(err)
+		}
+	}
+	b := Backend{ID: "khata-1", Service: "khata-app", Place: "asan", Region: "bagmati", Class: "small"}
+	if err := p.StartService(b, &standin.Service{}); err != nil {
+		t.Fatal(err)
+	}
+	for i, place := range []string{"asan", "bhaktapur"} {
+		d, err := p.StartDaemon(fmt.Sprintf("daemon-%d", i), place, "bagmati")
+		if err != nil {
+			t.Fatal(err)
+		}
+		waitServing(t, d.CallerAddress())
+	}
+	return p
+}
+
+// waitServing waits until an entry has a configuration and backend servers.
+func waitServing(t *testing.T, address string) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	for ctx.Err() == nil {
+		res, err := send(ctx, address, "GET", "/services/khata-app/catalogue", "", nil)
+		if err == nil {
+			_ = res.Body.Close()
+			if res.StatusCode == http.StatusOK {
+				return
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Fatalf("entry %s serves nothing", address)
+}
+
+func send(ctx context.Context, address, method, path, body string, header http.Header) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	req.Header.Set("Authorization", "Bearer "+token("counter"))
+	return http.DefaultClient.Do(req)
+}
+
+// readStream returns the text of a completion stream and whether it was complete.
+func readStream(t *testing.T, res *http.Response, each func(n int)) (string, bool) {
+	t.Helper()
+	defer res.Body.Close()
+	var text strings.Builder
+	lines := bufio.NewScanner(res.Body)
+	for n := 0; lines.Scan(); {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			return text.String(), true
+		}
+		var chunk struct {
+			Choices []struct {
+				Text string `json:"text"`
+			} `json:"choices"`
+		}
+		if err := json.Unmarshal([]byte(data), &chunk); err != nil || len(chunk.Choices) != 1 {
+			t.Fatalf("chunk %s: %v", data, err)
+		}
+		text.WriteString(chunk.Choices[0].Text)
+		n++
+		if each != nil {
+			each(n)
+		}
+	}
+	return text.String(), false
+}
+
+func completion(prompt string, tokens int) string {
+	var want strings.Builder
+	for n := 1; n <= tokens; n++ {
+		want.WriteString(standin.Completion(prompt, n))
+	}
+	return want.String()
+}
+
+// Guards against text that is missing or repeated when the engine of a stream
+// dies, and against a stream that ends with its engine.
+func TestStreamSurvivesDeathOfItsEngine(t *testing.T) {
+	p := small(t)
+	prompt := `"tell me about sukuti"`
+	body := `{"model":"sahayak-llm","prompt":` + prompt + `,"max_tokens":60,"stream":true}`
+	res, err := send(t.Context(), p.Entries()[0], "POST", "/v1/completions", body, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, whole := readStream(t, res, func(n int) {
+		if n == 20 {
+			for _, id := range []string{"engine-0", "engine-1"} {
+				if p.running(id) > 0 {
+					p.Kill(id)
+				}
+			}
+		}
+	})
+	if want := completion("tell me about sukuti", 60); !whole || text != want {
+		t.Errorf("complete: %v, text of %d bytes, want %d bytes", whole, len(text), len(want))
+	}
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -211,6 +211,11 @@
 	Stopped
 )
 
+// String returns the name of the ending.
+func (e Ending) String() string {
+	return [...]string{"NotStarted", "Broken", "Crashed", "Stopped"}[e]
+}
+
 // Retry puts a request back into the queue after an attempt, or returns the
 // problem with which it ends. recompute is the number of tokens that the next
 // attempt computes again.
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -69,7 +69,12 @@
 		return engine.ErrBroken
 	}
 	if t.Finish != "" {
-		a.finish, a.usage = t.Finish, t.Usage
+		a.finish = t.Finish
+		if t.Usage != nil {
+			usage := *t.Usage // Readers hold it without the lock, so it never changes.
+			usage.RecomputedTokens = a.recomputed
+			a.usage = &usage
+		}
 	}
 	a.wake()
 	return nil
@@ -83,9 +88,6 @@
 		a.buffer.Fail(attempt)
 		return false
 	}
-	if a.usage != nil {
-		a.usage.RecomputedTokens = a.recomputed
-	}
 	a.wake()
 	return true
 }
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -58,7 +58,7 @@
 		if ending != dispatch.Stopped {
 			failures++
 		}
-		d.Log.Info("attempt ended early", "RequestID", call.id, "Server", grant.Server.ID, "Ending", ending, "Error", err.Error())
+		d.Log.Info("attempt ended early", "RequestID", call.id, "Server", grant.Server.ID, "Ending", ending.String(), "Error", err.Error())
 		if failures >= maxAttempts && !w.Durable {
 			d.dispatcher.Cancel(time.Now(), call.id)
 			return problem.New(problem.BackendFailed, "%d attempts failed", failures)
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -30,7 +30,7 @@
 // of the same request is not one.
 func (t *telemetry) firstToken(rank string, took time.Duration, first bool) {
 	if first {
-		t.timer("first_token_seconds", rank).Update(took)
+		t.histogram("first_token_seconds", rank).Update(int64(took))
 	}
 }
 
@@ -50,10 +50,12 @@
 	return metrics.GetOrRegisterCounter(name+"|"+label, t.registry)
 }
 
-func (t *telemetry) timer(name, label string) metrics.Timer {
-	return t.registry.GetOrRegister(name+"|"+label, func() metrics.Timer {
-		return metrics.NewCustomTimer(metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleAlpha)), metrics.NewMeter())
-	}).(metrics.Timer)
+// histogram returns a histogram of nanoseconds. A Timer of the library would
+// start a goroutine that never ends.
+func (t *telemetry) histogram(name, label string) metrics.Histogram {
+	return t.registry.GetOrRegister(name+"|"+label, func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+	}).(metrics.Histogram)
 }
 
 // write prints the metrics in the text format that common scrapers read.
@@ -72,7 +74,7 @@
 		switch m := metric.(type) {
 		case metrics.Counter:
 			lines = append(lines, fmt.Sprintf("%s_total%s %d", name, labels("kind", label), m.Count()))
-		case metrics.Timer:
+		case metrics.Histogram:
 			snapshot := m.Snapshot()
 			for _, q := range []float64{0.5, 0.95, 0.99} {
 				value := time.Duration(snapshot.Percentile(q)).Seconds()
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -123,6 +123,13 @@
 	return e.served
 }
 
+// Running returns how many streams hold a slot.
+func (e *Engine) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.running
+}
+
 // begin admits a request. The stream runs on its own until it is finished or
 // cancelled, so that a reader that was cut off can resume.
 func (e *Engine) begin(id string, raw []byte) (*engineStream, error) {
