lease: add the state machine of single-holder duties

Cause: placement and the configuration relay need one holder at a time with a fencing number, and engines that ignore fencing numbers need a time from which a new holder may give orders.

Ruled out: binding the key to a lease of the key-value service, because the fencing number ends with the key. Extending the lease when an older renewal is found to have taken effect late, because its time of sending is not known.

--- /dev/null
+++ b/internal/lease/lease.go
@@ -0,0 +1,145 @@
+// Package lease decides who performs a duty that has a single holder. It has no
+// sockets, goroutines, clock or global random source: an adapter calls Duty.Step
+// with events and performs the returned actions.
+//
+// The key duties/<name> names the holder and its fencing number. The holder
+// renews it by compare-and-swap; a candidate claims it with the next fencing
+// number after the key was released or has not changed for the lease time. The
+// key is not bound to a lease of the key-value service, because the fencing
+// number would then be lost with it.
+//
+// Fencing numbers keep an old holder's orders out whatever the clocks do. Holds
+// and OrdersFrom add protection for engines that ignore fencing numbers. They
+// need clocks that run at about the same rate, but not clocks that agree.
+package lease
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/juju/errors"
+
+	"apricotbridge/internal/keyvalue"
+)
+
+// DefaultLease is the lease time of a duty.
+const DefaultLease = 30 * time.Second
+
+// Config holds the settings of a Duty.
+type Config struct {
+	// Name of the duty.
+	Name string
+	// Holder is this daemon; Incarnation is unique for each process of it.
+	Holder      string
+	Incarnation uint64
+	// Lease is how long a duty is held after a renewal; 0 means DefaultLease.
+	Lease time.Duration
+	// OrderLifetime is how long an order of a holder may stay in force at an engine
+	// that ignores fencing numbers.
+	OrderLifetime time.Duration
+	// Rand spreads renewals, polls and retries.
+	Rand *rand.Rand
+}
+
+// Value is the value of a duty's key.
+type Value struct {
+	// Holder is empty after the duty was resigned.
+	Holder      string `json:"Holder"`
+	Incarnation uint64 `json:"Incarnation"`
+	Fence       uint64 `json:"Fence"`
+	// Renewal tells the renewals of a holding apart.
+	Renewal uint64 `json:"Renewal"`
+}
+
+// Key returns the key of a duty.
+func Key(name string) string { return "duties/" + name }
+
+// Event is an input of Duty.Step.
+type Event interface{ event() }
+
+// Tick lets time pass. It is due at least every 100 ms.
+type Tick struct{}
+
+// Committed reports that a write took effect.
+type Committed struct {
+	ID       uint64
+	Revision int64
+}
+
+// CommitConflict reports that a write found another revision.
+type CommitConflict struct {
+	ID      uint64
+	Current keyvalue.Entry
+}
+
+// CommitUnknown reports that the answer of a write was lost.
+type CommitUnknown struct{ ID uint64 }
+
+// CommitRefused reports that a write had no effect.
+type CommitRefused struct{ ID uint64 }
+
+// ReadBack is the result of a Read. Entry is the zero Entry when the key does
+// not exist.
+type ReadBack struct {
+	ID     uint64
+	Entry  keyvalue.Entry
+	Failed bool
+}
+
+// Resign asks to give the duty up for good.
+type Resign struct{}
+
+func (Tick) event()           {}
+func (Committed) event()      {}
+func (CommitConflict) event() {}
+func (CommitUnknown) event()  {}
+func (CommitRefused) event()  {}
+func (ReadBack) event()       {}
+func (Resign) event()         {}
+
+// Action is an output of Duty.Step.
+type Action interface{ action() }
+
+// Write is a compare-and-swap of the duty's key; revision 0 creates it.
+type Write struct {
+	ID       uint64
+	Key      string
+	Value    []byte
+	Revision int64
+}
+
+// Read gets the duty's key.
+type Read struct {
+	ID  uint64
+	Key string
+}
+
+// Acquired reports that the duty is held.
+type Acquired struct {
+	Fence uint64
+	// OrdersFrom is the earliest time to give orders to engines that ignore fencing
+	// numbers.
+	OrdersFrom time.Time
+}
+
+// Lost reports that the duty is not held any more.
+type Lost struct{ Reason string }
+
+// Resigned reports that the duty was released, or is held by another, after a
+// Resign.
+type Resigned struct{}
+
+func (Write) action()    {}
+func (Read) action()     {}
+func (Acquired) action() {}
+func (Lost) action()     {}
+func (Resigned) action() {}
+
+func decode(e keyvalue.Entry) (Value, error) {
+	var v Value
+	if e.Revision == 0 {
+		return v, nil
+	}
+	return v, errors.Annotatef(json.Unmarshal(e.Value, &v), "decode duty %s", e.Key)
+}
