quarantine: run suspects apart before they run alone

Cause: a crashed server holds dozens of requests, and each became a suspect that had to run alone on an empty server. A fleet under load has no empty servers, so the innocent ones among them would have waited until they were given up. Now a suspect of one crash runs on a server without another suspect, where normal requests may run as well; only after a second crash does it run alone. Settle falls from 5 s to 3 s, since it is a pause that every caller of a crashed server sees; it still covers pushes over 5 hops and two rounds of digests.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,11 +1,13 @@
 // Package quarantine keeps the list of requests that are suspected of crashing
 // backend servers. It has no sockets, no goroutines and no clock.
 //
-// A crash makes each request in flight on the server a suspect. Suspects run alone,
-// and one that finishes is cleared. A suspect is refused when it was present in more
-// crashes than the limit and no other suspect was present in all of them: an
-// innocent request that shared each of its crashes with a poisonous one has that one
-// as the explanation.
+// A crash makes each request in flight on the server a suspect. After one crash,
+// suspects run apart: on servers that hold no other suspect, so that a second crash
+// tells the poisonous request from those that only shared its server. After two
+// crashes a suspect runs alone. A suspect that finishes is cleared. One is refused
+// when it was present in more crashes than the limit and no other suspect was
+// present in all of them: an innocent request that shared each of its crashes with a
+// poisonous one has that one as the explanation.
 //
 // Two rules make this hold while gossip is under way. All suspects of a service run at
 // one daemon (Owner), which thus knows the outcome of every run. And a suspect
@@ -48,6 +50,10 @@
 const (
 	// Normal requests run like any other.
 	Normal Verdict = iota
+	// Apart requests run at the owner, on a server without another suspect, once
+	// Ready. A crashed server may have held dozens of requests, and a fleet under
+	// load has no empty server for each.
+	Apart
 	// Alone requests run at the owner, alone on a server, once Ready.
 	Alone
 	// Refused requests do not run.
@@ -55,7 +61,7 @@
 )
 
 func (v Verdict) String() string {
-	return [...]string{"Normal", "Alone", "Refused"}[v]
+	return [...]string{"Normal", "Apart", "Alone", "Refused"}[v]
 }
 
 // Options are the settings of a List. Zero values take the defaults.
@@ -73,9 +79,9 @@
 const (
 	defaultCrashes = 2
 	defaultExpiry  = time.Hour
-	// defaultSettle covers 5 hops and one repair by digests, which are exchanged each
-	// second.
-	defaultSettle = 5 * time.Second
+	// defaultSettle covers 5 hops of immediate pushes and two rounds of digests,
+	// which are exchanged each second.
+	defaultSettle = 3 * time.Second
 	defaultSize   = 4096
 	// maxCrashes bounds the crashes kept in one entry.
 	maxCrashes = 16
@@ -160,6 +166,9 @@
 	if e.open() > l.options.Crashes && !now.Before(e.last.Add(l.options.Settle)) && !l.explained(now, fingerprint, e) {
 		return Refused
 	}
+	if e.open() == 1 {
+		return Apart
+	}
 	return Alone
 }
 
