placement: plan starts, stops, loads and roles

Cause: the fleet has to follow demand and prices, outlast the loss of its largest place for urgent work, and cope with refused starts and reclaims. Plan sizes each service for the work that can't wait plus a rate of elastic work, keeps the urgent need outside the largest place, backs off refused offers, replaces expensive instances one by one, and queues loads on the weight store's rate. Orders carry a fencing number, a reason, a lapse time and a desired end state.

--- /dev/null
+++ b/internal/placement/plan_test.go
@@ -0,0 +1,314 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// region returns an input with three places, one class of 100 tokens/s and the given
+// urgent and batch demand.
+func region(urgent, batch float64) Input {
+	in := Input{
+		Fencing: 7,
+		Ranks:   []Rank{{"Urgent", time.Second, 20 * time.Second}, {"Batch", time.Hour, 6 * time.Hour}},
+		Services: []Service{{
+			Name: "llm", Model: "m", Version: "1", WeightBytes: 10e9, AdapterBytes: 1e9,
+		}},
+		Classes: []Class{{Name: "large", Slots: 10, TokensPerSecond: 100, PrefillTokensPerSecond: 1000}},
+		Demand: []Demand{
+			{Rank: "Urgent", Service: "llm", TokensPerSecond: urgent},
+			{Rank: "Batch", Service: "llm", TokensPerSecond: batch, Waiting: batch * 6000},
+		},
+		Weights: Weights{BytesPerSecond: 10e9, LoadBytesPerSecond: 1e9},
+	}
+	for i, p := range []string{"a", "b", "c"} {
+		in.Places = append(in.Places, Place{Name: p, OnDemand: true})
+		in.Offers = append(in.Offers, Offer{Place: p, Class: "large", Reclaimable: 1 + 0.2*float64(i), OnDemand: 4})
+	}
+	return in
+}
+
+// run carries out the orders as a platform that refuses what refuse says, and
+// returns the orders of the last plan. Instances serve after 3 minutes.
+func run(in *Input, s *State, now *time.Time, plans int, refuse func(Order) bool) []Order {
+	var orders []Order
+	for range plans {
+		orders = Plan(*now, *in, s)
+		in.Refusals = nil
+		for _, o := range orders {
+			switch {
+			case o.Kind == Start && refuse != nil && refuse(o):
+				in.Refusals = append(in.Refusals, Refusal{o.Token, o.Place, o.Class, o.Reclaimable, *now})
+			case o.Kind == Start:
+				in.Instances = append(in.Instances, Instance{
+					ID: "i-" + o.Token, Token: o.Token, Service: o.Service, Place: o.Place, Class: o.Class,
+					Reclaimable: o.Reclaimable, Model: "m", Version: "1", State: Starting, Started: *now, Since: *now,
+				})
+			}
+		}
+		*now = now.Add(30 * time.Second)
+		var kept []Instance
+		for _, i := range in.Instances {
+			if i.State == Starting && now.Sub(i.Started) >= 3*time.Minute {
+				i.State, i.Since = Serving, *now
+			}
+			stopped := false
+			for _, o := range orders {
+				stopped = stopped || o.Kind == Stop && o.Instance == i.ID
+			}
+			if !stopped {
+				kept = append(kept, i)
+			}
+		}
+		in.Instances = kept
+	}
+	return orders
+}
+
+func byPlace(in Input) map[string]int {
+	n := map[string]int{}
+	for _, i := range in.Instances {
+		if !i.Reclaimable {
+			n["on demand"]++
+		}
+		n[i.Place]++
+	}
+	return n
+}
+
+// Guards against a fleet that loses its urgent work with its largest place, that
+// leaves the cheapest place unused, or that takes on-demand instances without need.
+func TestSpread(t *testing.T) {
+	now, in, s := start, region(1000, 1000), &State{}
+	run(&in, s, &now, 20, nil)
+	got := byPlace(in)
+	most := max(got["a"], got["b"], got["c"])
+	if left := 100 * float64(len(in.Instances)-most); left < 1000*(1+urgentHeadroom) {
+		t.Errorf("got %v: %.0f tokens/s outlast the largest place, want 1150", got, left)
+	}
+	if got["a"] < got["c"] || got["on demand"] > 0 {
+		t.Errorf("got %v, want most in place a and none on demand", got)
+	}
+}
+
+// Guards against starts that keep going to a place that refuses them, and against
+// on-demand instances for work other than the urgent one.
+func TestRefusedStarts(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		refuse func(Order) bool
+		check  func(map[string]int) bool
+		want   string
+	}{
+		{
+			"one place", func(o Order) bool { return o.Place == "a" },
+			func(n map[string]int) bool { return n["b"] > 0 && n["c"] > 0 && n["on demand"] == 0 },
+			"instances in b and c, none on demand",
+		},
+		{
+			// The urgent work needs 1150 tokens/s outside the largest of three places.
+			"all reclaimable", func(o Order) bool { return o.Reclaimable },
+			func(n map[string]int) bool { return n["on demand"] >= 17 && n["on demand"] <= 19 },
+			"17 to 19 on-demand instances",
+		},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			now, in, s, sent := start, region(1000, 6000), &State{}, map[string]bool{}
+			run(&in, s, &now, 1, tc.refuse)
+			run(&in, s, &now, 20, func(o Order) bool {
+				if o.Place == "a" && o.Reclaimable {
+					sent[o.Token] = true
+				}
+				return tc.refuse(o)
+			})
+			// Four probes fit into 10 minutes of back-off that doubles from 30 s.
+			if n := byPlace(in); len(sent) > 4*probeStarts || !tc.check(n) {
+				t.Errorf("got %v and %d probes of place a, want %s and at most %d probes", n, len(sent), tc.want, 4*probeStarts)
+			}
+		})
+	}
+}
+
+// Guards against a back-off that does not grow or that reaches other offers.
+func TestBackoffDoubles(t *testing.T) {
+	s, in := &State{}, region(0, 0)
+	s.init(start)
+	at := start
+	for _, want := range []time.Duration{30, 60, 120, 240, 480, 600, 600} {
+		s.refused(Refusal{Place: "a", Class: "large", Reclaimable: true, At: at}, &in)
+		if got := s.backoffs[key{"a", "large", true}].until.Sub(at); got != want*time.Second {
+			t.Errorf("got back-off %v, want %v", got, want*time.Second)
+		}
+		at = at.Add(time.Minute)
+	}
+	if n := len(s.market(at, &in, in.Services[0]).offers); n != 5 {
+		t.Errorf("got %d offers, want the 5 others", n)
+	}
+}
+
+// Guards against instances that are started and stopped as demand moves a little or
+// drops for a short time, and against a surplus that stays.
+func TestHysteresis(t *testing.T) {
+	now, in, s := start, region(1000, 0), &State{}
+	run(&in, s, &now, 40, nil) // Longer than the minimum keep time.
+	ids := func() map[string]bool {
+		m := map[string]bool{}
+		for _, i := range in.Instances {
+			m[i.ID] = true
+		}
+		return m
+	}
+	before := ids()
+	for i, demand := range []float64{1010, 990, 1005, 400, 400, 1000} {
+		in.Demand[0].TokensPerSecond = demand
+		run(&in, s, &now, 1, nil)
+		if diff := cmp.Diff(before, ids()); diff != "" {
+			t.Fatalf("demand %d of %.0f changed the fleet: %s", i, demand, diff)
+		}
+	}
+	in.Demand[0].TokensPerSecond = 200
+	run(&in, s, &now, 60, nil)
+	if n := len(in.Instances); n > 6 || n < 4 {
+		t.Errorf("after the demand fell for good got %d instances, want 4 to 6", n)
+	}
+}
+
+// Guards against instances that are stopped before they were kept for the minimum
+// time, which pays for their start again and again.
+func TestMinimumKeep(t *testing.T) {
+	now, in, s := start, region(1000, 0), &State{}
+	run(&in, s, &now, 10, nil)
+	before := len(in.Instances)
+	in.Demand[0].TokensPerSecond = 200
+	for n := range 18 {
+		run(&in, s, &now, 1, nil)
+		if len(in.Instances) < before {
+			t.Fatalf("instances were stopped %v after their start", time.Duration(11+n)*30*time.Second)
+		}
+	}
+}
+
+// Guards against a new holder whose orders overlap those of its predecessor.
+func TestOrdersFrom(t *testing.T) {
+	in := region(1000, 0)
+	in.OrdersFrom = start.Add(90 * time.Second)
+	if orders := Plan(start.Add(89*time.Second), in, &State{}); len(orders) > 0 {
+		t.Errorf("got %d orders before the waiting time has passed", len(orders))
+	}
+	orders := Plan(in.OrdersFrom, in, &State{})
+	if len(orders) == 0 {
+		t.Fatal("got no orders after the waiting time")
+	}
+	for _, o := range orders {
+		if o.Fencing != 7 || o.Reason == "" || !o.Until.After(in.OrdersFrom) || o.Token == "" {
+			t.Errorf("order lacks its fencing number, reason, lapse or token: %+v", o)
+		}
+	}
+}
+
+// Guards against more instances when a plan is repeated before its orders show, and
+// against a start that is repeated after it lapsed.
+func TestRepeatedPlan(t *testing.T) {
+	in, s := region(1000, 500), &State{}
+	first := Plan(start, in, s)
+	if diff := cmp.Diff(first, Plan(start.Add(time.Second), in, s)); diff != "" {
+		t.Errorf("repeated plan differs: %s", diff)
+	}
+	lapsed := map[string]bool{}
+	for _, o := range first {
+		lapsed[o.Token] = true
+	}
+	for _, o := range Plan(start.Add(OrderLifetime), in, s) {
+		if lapsed[o.Token] {
+			t.Errorf("start %s is repeated after it lapsed", o.Token)
+		}
+	}
+}
+
+// Guards against a price bound that is passed and against a place with a recent
+// reclaim wave that is still preferred for a small saving.
+func TestPriceAndRisk(t *testing.T) {
+	in := region(1000, 0)
+	in.Places[0].MaxPrice = 0.9
+	in.Offers[2].Reclaimable = 1.21
+	in.Reclaims = []Reclaim{{"b", "large", start.Add(-time.Minute), 9, 10}}
+	s := &State{}
+	s.init(start)
+	m := s.market(start, &in, in.Services[0])
+	if i := m.cheapest(0, true); m.offers[i].place != "c" {
+		t.Errorf("got place %s, want c: a is over its bound and b was just reclaimed", m.offers[i].place)
+	}
+	now := start.Add(6 * time.Hour)
+	m = s.market(now, &in, in.Services[0])
+	if i := m.cheapest(0, true); m.offers[i].place != "b" {
+		t.Errorf("got place %s six hours after the wave, want b", m.offers[i].place)
+	}
+}
+
+// Guards against loads over the weight store's rate, instances of a variant without
+// demand, and a reload of too many instances at a time.
+func TestLoads(t *testing.T) {
+	in := region(1000, 0)
+	in.Demand = []Demand{
+		{Rank: "Urgent", Service: "llm", Adapter: "x", TokensPerSecond: 600},
+		{Rank: "Urgent", Service: "llm", Adapter: "y", TokensPerSecond: 600},
+	}
+	in.Weights.Loads = 4
+	for n := range 24 {
+		in.Instances = append(in.Instances, Instance{
+			ID: fmt.Sprintf("i-%02d", n), Service: "llm", Place: []string{"a", "b", "c"}[n%3], Class: "large",
+			Reclaimable: true, State: Idle, Started: start, Since: start,
+		})
+	}
+	loads := func(now time.Time) map[string]int {
+		n := map[string]int{}
+		for _, o := range Plan(now, in, &State{}) {
+			if o.Kind == Load {
+				n[o.Model+o.Adapter+o.Version]++
+			}
+		}
+		return n
+	}
+	if diff := cmp.Diff(map[string]int{"mx1": 3, "my1": 3}, loads(start)); diff != "" {
+		t.Errorf("6 loads are free: %s", diff)
+	}
+	for n := range in.Instances {
+		i := &in.Instances[n]
+		i.State, i.Model, i.Adapter, i.Version = Serving, "m", "x", "1"
+	}
+	in.Weights.Loads = 0
+	if diff := cmp.Diff(map[string]int{}, loads(start.Add(time.Minute))); diff != "" {
+		t.Errorf("reload right after a load: %s", diff)
+	}
+	if diff := cmp.Diff(map[string]int{"my1": 3}, loads(start.Add(reloadKeep))); diff != "" {
+		t.Errorf("a tenth of 24 instances changes its adapter: %s", diff)
+	}
+}
+
+// Guards against roles that do not follow the demand and against a service without
+// any instance for decode.
+func TestRoles(t *testing.T) {
+	in := region(400, 0)
+	in.Services[0].SplitRoles = true
+	in.Demand[0].PromptTokensPerSecond = 4000
+	for n := range 8 {
+		in.Instances = append(in.Instances, Instance{
+			ID: fmt.Sprint(n), Service: "llm", Place: []string{"a", "b"}[n%2], Class: "large", Role: Mixed,
+			Reclaimable: true, Model: "m", Version: "1", State: Serving, Started: start, Since: start,
+		})
+	}
+	roles := map[Role]int{}
+	for _, o := range Plan(start, in, &State{}) {
+		if o.Kind == SetRole {
+			roles[o.Role]++
+		}
+	}
+	if diff := cmp.Diff(map[Role]int{Prefill: 4, Decode: 4}, roles); diff != "" {
+		t.Error(diff)
+	}
+}
