entry: record orders and durable drafts in the ledger

Cause: a keyed call that must not be repeated went straight to a backend server, and nothing survived its daemon. Such calls, and model calls with Prefer: respond-async, now go through the registrar at the daemon that holds their shard.

The number of shards is written once to the key-value service. Ruled out: taking it from the configuration in force, because daemons that differ for a moment would look for one key in two shards and run its order twice. Only the method, path, content type and body tell two requests with one key apart; headers such as User-Agent differ between libraries of one organisation.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -20,6 +20,8 @@
 	// parkedFor is how long a request that has its turn waits for a server that it
 	// may use, such as an empty one for a suspected request.
 	parkedFor = 10 * time.Second
+	// begunParkedFor is that time for a request of which an attempt has failed.
+	begunParkedFor = time.Minute
 	// retryShare and retryBurst bound the system's own retries to a tenth of the
 	// requests, so that a failing fleet is not loaded further.
 	retryShare = 0.1
@@ -42,9 +44,11 @@
 	// work; nil means that the request can't be preempted. It must not block.
 	Stop func()
 
-	grants    chan Grant
-	server    routing.Server
-	running   bool
+	grants  chan Grant
+	server  routing.Server
+	running bool
+	// failed are the servers at which attempts failed.
+	failed    []string
 	parked    time.Time
 	started   time.Time
 	generated int
@@ -230,7 +234,7 @@
 		d.Router.Cancelled(id)
 	} else {
 		d.Router.Failed(now, id)
-		w.Call.Excluded = append(w.Call.Excluded, w.server.ID)
+		w.failed = append(w.failed, w.server.ID)
 	}
 	if ending == Crashed {
 		d.crashed(now, w.server)
@@ -318,14 +322,19 @@
 
 // place chooses a server for a request that has its turn.
 func (d *Dispatcher) place(now time.Time, w *Work) bool {
-	w.Call.Alone = d.Quarantine.Verdict(now, w.Fingerprint) == quarantine.Alone
-	if ready, _ := d.Quarantine.Ready(now, w.Fingerprint); w.Call.Alone && !ready {
+	verdict := d.Quarantine.Verdict(now, w.Fingerprint)
+	if ready, _ := d.Quarantine.Ready(now, w.Fingerprint); verdict != quarantine.Normal && !ready {
 		return false
 	}
+	w.Call.Alone = verdict == quarantine.Alone
+	w.Call.Excluded = w.failed
+	if verdict == quarantine.Apart {
+		w.Call.Excluded = d.withSuspects(now, w.failed)
+	}
 	decision := d.Router.Choose(now, &w.Call, d.table, d.Rand)
-	if decision.Server == "" && len(w.Call.Excluded) > 0 {
+	if decision.Server == "" && verdict == quarantine.Normal && len(w.failed) > 0 {
 		// Every server was tried: a second round is better than none.
-		w.Call.Excluded = nil
+		w.failed, w.Call.Excluded = nil, nil
 		decision = d.Router.Choose(now, &w.Call, d.table, d.Rand)
 	}
 	if decision.Server == "" {
@@ -340,12 +349,23 @@
 	return true
 }
 
+// withSuspects adds the servers that run a suspect to those that were tried.
+func (d *Dispatcher) withSuspects(now time.Time, failed []string) []string {
+	excluded := append([]string(nil), failed...)
+	for _, w := range d.works {
+		if w.running && d.Quarantine.Verdict(now, w.Fingerprint) != quarantine.Normal {
+			excluded = append(excluded, w.server.ID)
+		}
+	}
+	return excluded
+}
+
 func (d *Dispatcher) placeParked(now time.Time) {
 	kept := d.parked[:0]
 	for _, w := range d.parked {
 		switch {
 		case d.place(now, w):
-		case !w.Durable && now.Sub(w.parked) > parkedFor:
+		case !w.Durable && now.Sub(w.parked) > w.patience():
 			d.Queue.Done(now, admission.Usage{ID: w.Request.ID, Failed: true})
 			delete(d.works, w.Request.ID)
 			w.grants <- Grant{Problem: d.noServer(w.Request.Service)}
@@ -357,6 +377,15 @@
 	d.parked = kept
 }
 
+// patience is how long a request that has its turn waits for a server. One that
+// has begun is not given up for want of a server as soon as a new one is.
+func (w *Work) patience() time.Duration {
+	if len(w.failed) > 0 {
+		return begunParkedFor
+	}
+	return parkedFor
+}
+
 func (d *Dispatcher) parkedFor(service string) int {
 	n := 0
 	for _, w := range d.parked {
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -161,6 +161,7 @@
 type answers struct {
 	mu      sync.Mutex
 	byID    map[string]*answer
+	closed  bool
 	running sync.WaitGroup
 }
 
@@ -176,21 +177,32 @@
 	return nil
 }
 
-// start registers an answer and runs its producer. The answer is forgotten some
-// time after the producer has ended.
-func (s *answers) start(ctx context.Context, a *answer, produce func(ctx context.Context) *problem.Problem) {
+// put registers an answer.
+func (s *answers) put(a *answer) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.byID[a.id] = a
-	s.mu.Unlock()
+}
+
+// finished forgets an answer some time later.
+func (s *answers) finished(a *answer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.closed {
+		a.forget = time.AfterFunc(resumeKept, func() { s.remove(a) })
+	}
+}
+
+// start registers an answer and runs its producer.
+func (s *answers) start(ctx context.Context, a *answer, produce func(ctx context.Context) *problem.Problem) {
+	s.put(a)
 	s.running.Add(1)
 	go func() {
 		defer s.running.Done()
 		if p := produce(ctx); p != nil {
 			a.abandon(p)
 		}
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		a.forget = time.AfterFunc(resumeKept, func() { s.remove(a) })
+		s.finished(a)
 	}()
 }
 
@@ -207,6 +219,7 @@
 	s.running.Wait()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.closed = true
 	for _, a := range s.byID {
 		if a.forget != nil {
 			a.forget.Stop()
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -106,6 +106,7 @@
 func (c *controlState) publish(now time.Time) {
 	c.view.Daemons = c.daemons.Snapshot()
 	c.view.Entries = c.daemons.Entries(now, c.d.Settings.Place, c.d.Settings.Region, c.d.Settings.Daemon)
+	c.view.Relay = c.relay()
 	if c.stale || c.view.Table == nil {
 		c.stale = false
 		c.view.Members = c.members.Snapshot()
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -22,6 +22,7 @@
 	"apricotbridge/internal/instances"
 	"apricotbridge/internal/keyvalue"
 	"apricotbridge/internal/quarantine"
+	"apricotbridge/internal/registrar"
 	"apricotbridge/internal/routing"
 	"apricotbridge/internal/service"
 	"apricotbridge/internal/settings"
@@ -94,9 +95,11 @@
 	answers    answers
 	dispatcher *dispatch.Dispatcher
 	// work is the context of requests, which go on when their caller is cut off.
-	work context.Context
-	metrics    *telemetry
-	drainOnce  sync.Once
+	work      context.Context
+	registrar atomic.Pointer[registrar.Registrar]
+	orders    orders
+	metrics   *telemetry
+	drainOnce sync.Once
 }
 
 // addresses are where the daemon listens, known once it is ready.
@@ -161,6 +164,7 @@
 	t.start("instance list", d.followInstances)
 	t.start("registration", d.register)
 	t.start("engine polls", d.pollEngines)
+	t.start("ledger", d.runLedger)
 	t.start("callers", func(ctx context.Context) error { return serveHTTP(ctx, d.callerServer(), callers) })
 	t.start("operators", func(ctx context.Context) error { return d.serveOperators(ctx, operators) })
 	close(d.ready)
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -70,7 +70,13 @@
 func (d *Daemon) finishDrain(ctx context.Context, deadline time.Time) {
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
+	released := make(chan struct{})
+	go func() {
+		defer close(released)
+		d.releaseLedger(ctx, deadline)
+	}()
 	sleep(ctx, settle)
+	<-released
 	select {
 	case <-d.active.empty():
 		d.Log.Info("drain complete")
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -51,6 +51,10 @@
 	wait := newBackoff()
 	after := int64(0)
 	for ctx.Err() == nil {
+		if !d.view.Load().Relay {
+			sleep(ctx, pollPeriod)
+			continue
+		}
 		if after == 0 {
 			e, err := d.KeyValue.Get(ctx, ConfigurationKey)
 			switch {
@@ -82,6 +86,10 @@
 // followInstances reads the instance list.
 func (d *Daemon) followInstances(ctx context.Context) error {
 	for ctx.Err() == nil {
+		if !d.view.Load().Relay {
+			sleep(ctx, pollPeriod)
+			continue
+		}
 		called := time.Now()
 		list, err := d.Instances.List(ctx)
 		if err != nil {
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -72,6 +72,9 @@
 	if p != nil {
 		return p
 	}
+	if wantsAsync(r) {
+		return d.serveDraft(w, r, c, call)
+	}
 	a := d.startModelCall(call)
 	if call.stream {
 		return d.sendStream(w, r, a, 0)
--- a/internal/entry/order.go
+++ b/internal/entry/order.go
@@ -3,176 +3,174 @@
 import (
 	"context"
 	"net/http"
-	"strings"
+	"sync"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
 
-	"apricotbridge/internal/admission"
-	"apricotbridge/internal/dispatch"
-	"apricotbridge/internal/quarantine"
-	"apricotbridge/internal/routing"
+	"apricotbridge/internal/ledger"
+	"apricotbridge/internal/registrar"
 	"apricotbridge/internal/service"
-	"apricotbridge/pkg/config"
 	"apricotbridge/pkg/problem"
 )
 
-// hopHeaders belong to one connection (RFC 9110, section 7.6.1) or to the
-// caller's credential and are not passed on.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade", "Authorization", "X-Rank",
+// orders holds the calls of orders between their submission and their dispatch.
+// The ledger keeps only what tells two requests with one key apart; the headers
+// stay here, because a successor never dispatches an order.
+type orders struct {
+	mu    sync.Mutex
+	calls map[string]plainCall
 }
 
-// servePlain passes a call to a plain service.
-func (d *Daemon) servePlain(w http.ResponseWriter, r *http.Request, c *caller) *problem.Problem {
-	if p := d.refuseWhileDraining(c); p != nil {
-		return p
-	}
-	s := c.view.Index.Service(r.PathValue("service"))
-	if s == nil || s.Kind != config.ServiceKindPlain {
-		return problem.New(problem.UnknownService, "service %q is not configured", r.PathValue("service"))
-	}
-	rank, _, p := rankOf(c, r, s)
-	if p != nil {
-		return p
-	}
-	key := r.Header.Get("Idempotency-Key")
-	if len(key) > maxKeyBytes {
-		return problem.New(problem.KeyTooLong, "Idempotency-Key has %d bytes; the limit is %d", len(key), maxKeyBytes)
-	}
-	limit := int64(defaultPlainBytes)
-	if s.BodyLimitBytes > 0 {
-		limit = int64(s.BodyLimitBytes)
-	}
-	body, p := readBody(w, r, limit)
-	if p != nil {
-		return p
+func (o *orders) put(q plainCall) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.calls == nil {
+		o.calls = map[string]plainCall{}
 	}
-	q := plainCall{
-		id: c.id, organisation: c.organisation.Name, rank: rank, service: s, received: c.received, key: key,
-		repeatable: repeatable(s, r.Method, key),
-		call: service.Call{
-			Method: r.Method, Path: strings.TrimPrefix(r.URL.RequestURI(), "/services/"+s.Name),
-			Header: passedHeaders(r.Header), Body: body, Timeout: serviceTimeout(s),
-		},
-	}
-	a, p := d.callPlain(r.Context(), q)
-	if p != nil {
-		return p
-	}
-	writeAnswer(w, a)
-	return nil
+	o.calls[q.id] = q
 }
 
-// plainCall is a checked call of a plain service.
-type plainCall struct {
-	id           string
-	organisation string
-	rank         string
-	service      *config.Service
-	received     time.Time
-	key          string
-	repeatable   bool
-	call         service.Call
+func (o *orders) get(id string) (plainCall, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	q, ok := o.calls[id]
+	return q, ok
 }
 
-// fingerprint returns what tells this call from others of its service.
-func (q plainCall) fingerprint() []byte {
-	return append([]byte(q.call.Method+" "+q.call.Path+"\n"+q.key+"\n"), q.call.Body...)
+func (o *orders) drop(id string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.calls, id)
 }
 
-// repeatable reports whether a call may be sent again after it may have run:
-// methods that are safe by RFC 9110, services that say so, and keyed calls of
-// services that recognise the key.
-func repeatable(s *config.Service, method, key string) bool {
-	switch method {
-	case http.MethodGet, http.MethodHead, http.MethodOptions:
-		return true
-	}
-	return s.Repeat == config.ServiceRepeatAlways || s.Repeat == config.ServiceRepeatByKey && key != ""
+// storedOrder is what the ledger compares when a key is sent again. Headers such
+// as User-Agent differ between the libraries that one organisation uses.
+type storedOrder struct {
+	Method      string
+	Path        string
+	ContentType string
+	Body        []byte
 }
 
-func passedHeaders(h http.Header) http.Header {
-	passed := h.Clone()
-	for _, name := range hopHeaders {
-		passed.Del(name)
-	}
-	return passed
+// serveOrder runs a keyed call that must not be repeated through the ledger.
+func (d *Daemon) serveOrder(w http.ResponseWriter, r *http.Request, c *caller, q plainCall) *problem.Problem {
+	reg := d.registrar.Load()
+	if reg == nil {
+		return ledgerStarting()
+	}
+	shard := ledger.ShardOf(q.organisation, q.key, reg.Shards)
+	if owner, p := d.ownerOf(r.Context(), reg, shard); p != nil {
+		return p
+	} else if owner != d.Settings.Daemon {
+		return d.forward(w, r, c, owner, q.call.Body, func() { reg.Forget(shard) })
+	}
+	request, err := cbor.Marshal(storedOrder{
+		Method: q.call.Method, Path: q.call.Path, ContentType: q.call.Header.Get("Content-Type"), Body: q.call.Body,
+	})
+	if err != nil {
+		return problem.New(problem.Internal, "encode order: %v", err)
+	}
+	d.orders.put(q)
+	result, err := reg.Submit(r.Context(), registrar.Submission{
+		Organisation: q.organisation, Key: q.key, Kind: ledger.Order, Service: q.service.Name,
+		RequestID: q.id, Request: request, Lookup: q.service.LookupPath != "",
+	})
+	d.orders.drop(q.id)
+	if err != nil {
+		return asProblem(err)
+	}
+	return writeStored(w, result.Response)
 }
 
-// callPlain runs a call at one backend server. Another server is tried only when
-// the first certainly did not get the call, or when the call may be repeated.
-func (d *Daemon) callPlain(ctx context.Context, q plainCall) (*service.Answer, *problem.Problem) {
-	w := &dispatch.Work{
-		Request: admission.Request{
-			ID: q.id, Organisation: q.organisation, Rank: q.rank, Service: q.service.Name, Arrived: q.received,
-		},
-		Call: routing.Call{
-			RequestID: q.id, Service: q.service.Name, Rank: q.rank, Place: d.Settings.Place,
-			Region: d.Settings.Region, Plain: true,
-		},
-		Fingerprint: quarantine.FingerprintOf(q.organisation, q.service.Name, q.fingerprint()),
-	}
-	if p := d.dispatcher.Submit(time.Now(), w); p != nil {
-		return nil, p
-	}
-	client := d.Order
-	if q.repeatable {
-		client = d.Service
+func ledgerStarting() *problem.Problem {
+	p := problem.New(problem.LedgerUnavailable, "the ledger has not started")
+	p.RetryAfter = time.Second
+	return p
+}
+
+// asProblem returns the problem within an error.
+func asProblem(err error) *problem.Problem {
+	var p *problem.Problem
+	if errors.As(err, &p) {
+		return p
 	}
-	for attempt := 1; ; attempt++ {
-		grant, ok := d.turn(ctx, w)
-		if !ok {
-			return nil, problem.New(problem.NoCapacity, "the caller went away before the call was sent")
-		}
-		if grant.Problem != nil {
-			return nil, grant.Problem
-		}
-		d.logRouting(q.id, q.service.Name, attempt, grant)
-		a, err := client.Do(ctx, grant.Server.Address, q.call)
-		if err == nil {
-			d.dispatcher.Finish(time.Now(), q.id, admission.Usage{ID: q.id, OutputTokens: 1}, routing.Answer{})
-			return a, nil
-		}
-		d.Log.Info("attempt ended early", "RequestID", q.id, "Server", grant.Server.ID, "Error", err.Error())
-		if p := d.plainFailed(ctx, q, grant.Server, err, attempt); p != nil {
-			return nil, p
-		}
+	return problem.New(problem.Internal, "%v", err)
+}
+
+// ownerOf returns the daemon that holds a shard. When none is known, the first
+// candidate serves the request and takes the shard over.
+func (d *Daemon) ownerOf(ctx context.Context, reg *registrar.Registrar, shard int) (string, *problem.Problem) {
+	owner, err := reg.Owner(ctx, shard)
+	switch {
+	case err == nil && (owner == d.Settings.Daemon || d.alive(owner)):
+		return owner, nil
+	case err == nil:
+		reg.Forget(shard)
+		reg.Wake()
+	case !errors.Is(err, errors.NotFound):
+		p := problem.New(problem.LedgerUnavailable, "holder of the ledger shard is not known: %v", err)
+		p.RetryAfter = time.Second
+		return "", p
+	}
+	p := problem.New(problem.LedgerUnavailable, "the ledger shard is being taken over")
+	p.RetryAfter = time.Second
+	return "", p
+}
+
+// writeStored sends a response that the ledger holds.
+func writeStored(w http.ResponseWriter, response []byte) *problem.Problem {
+	var a service.Answer
+	if err := cbor.Unmarshal(response, &a); err != nil {
+		return problem.New(problem.Internal, "stored response cannot be read: %v", err)
 	}
+	writeAnswer(w, &a)
+	return nil
 }
 
-// plainFailed returns the problem with which a call ends after a failed attempt,
-// or nil when another attempt follows.
-func (d *Daemon) plainFailed(ctx context.Context, q plainCall, server routing.Server, err error, attempt int) *problem.Problem {
-	now := time.Now()
-	if ctx.Err() == nil {
-		d.suspect(server)
+// Dispatch runs an order or a draft for the ledger.
+func (d *Daemon) Dispatch(ctx context.Context, l ledger.Dispatch) ledger.Outcome {
+	if l.Kind == ledger.Draft {
+		return d.dispatchDraft(ctx, l)
 	}
-	notStarted := errors.Is(err, service.ErrNotStarted)
-	if errors.Is(err, service.ErrTooLarge) || !notStarted && !q.repeatable || attempt >= maxAttempts {
-		d.dispatcher.Cancel(now, q.id)
+	q, ok := d.orders.get(l.RequestID)
+	if !ok {
+		return ledger.Outcome{Ran: problem.NotRun, Problem: problem.New(problem.Internal, "the call of the order is gone")}
 	}
-	switch {
-	case errors.Is(err, service.ErrTooLarge):
-		return problem.New(problem.BackendFailed, "%v", err)
-	case !notStarted && !q.repeatable:
-		return problem.New(problem.OutcomeUnknown, "backend server did not answer: %v", err)
-	case attempt >= maxAttempts:
-		return problem.New(problem.BackendFailed, "%d attempts failed", attempt)
+	a, p := d.callPlain(ctx, q)
+	if p != nil {
+		return ledger.Outcome{Ran: problem.Of(p.Kind).Ran, Problem: p}
 	}
-	ending := dispatch.Broken
-	if notStarted {
-		ending = dispatch.NotStarted
+	response, err := cbor.Marshal(a)
+	if err != nil {
+		return ledger.Outcome{Ran: problem.Unknown}
 	}
-	return d.dispatcher.Retry(now, q.id, ending, 0)
+	return ledger.Outcome{Ran: problem.HasRun, Response: response}
 }
 
-func writeAnswer(w http.ResponseWriter, a *service.Answer) {
-	for name, values := range passedHeaders(a.Header) {
-		w.Header()[name] = values
+// Lookup asks a plain service for the outcome of a key.
+func (d *Daemon) Lookup(ctx context.Context, l ledger.Lookup) ([]byte, bool) {
+	v := d.view.Load()
+	s := v.Index.serviceOf(l.Service)
+	if s == nil || s.LookupPath == "" {
+		return nil, false
+	}
+	for _, server := range v.Table.Servers(l.Service) {
+		if !server.Accepting || server.Suspect {
+			continue
+		}
+		a, err := d.Service.LookUp(ctx, server.Address, s.LookupPath, l.Key, serviceTimeout(s))
+		if err != nil {
+			continue
+		}
+		if a == nil {
+			return nil, false
+		}
+		response, err := cbor.Marshal(a)
+		return response, err == nil
 	}
-	w.Header().Del("Content-Length")
-	w.WriteHeader(a.Status)
-	_, _ = w.Write(a.Body) // A caller that has gone needs no answer.
+	return nil, false
 }
+
+var _ registrar.Dispatcher = (*Daemon)(nil)
--- a/internal/entry/sse.go
+++ b/internal/entry/sse.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"apricotbridge/pkg/problem"
 )
@@ -82,12 +83,27 @@
 }
 
 // serveAnswer sends the answer of an earlier request of the same organisation,
-// from the token after Last-Event-ID on.
+// from the event after Last-Event-ID on. A request that another daemon took is
+// forwarded there.
 func (d *Daemon) serveAnswer(w http.ResponseWriter, r *http.Request, c *caller) *problem.Problem {
 	id := r.PathValue("id")
-	a := d.answers.find(id, c.organisation.Name)
-	if a == nil {
-		return problem.New(problem.NotFound, "request %q is not known here", id)
+	if strings.HasPrefix(id, draftPrefix) {
+		return d.serveDraftAnswer(w, r, c, id)
+	}
+	if a := d.answers.find(id, c.organisation.Name); a != nil {
+		return d.sendFrom(w, r, a)
+	}
+	taker, _, _ := strings.Cut(id, ".")
+	if taker != d.Settings.Daemon && d.alive(taker) {
+		return d.forward(w, r, c, taker, nil, nil)
+	}
+	return problem.New(problem.NotFound, "request %q is not known", id)
+}
+
+// sendFrom sends an answer from the event that the request names.
+func (d *Daemon) sendFrom(w http.ResponseWriter, r *http.Request, a *answer) *problem.Problem {
+	if r.Header.Get("Accept") == "application/json" {
+		return d.sendWhole(w, r, a)
 	}
 	after := int64(0)
 	if last := r.Header.Get("Last-Event-ID"); last != "" {
@@ -97,8 +113,5 @@
 		}
 		after = n
 	}
-	if r.Header.Get("Accept") == "application/json" {
-		return d.sendWhole(w, r, a)
-	}
 	return d.sendStream(w, r, a, after)
 }
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"apricotbridge/internal/membership"
 	"apricotbridge/internal/routing"
 	"apricotbridge/pkg/config"
@@ -23,6 +25,9 @@
 	// Entries are the daemons that callers of this place should use, in order.
 	Entries  []membership.Daemon
 	Draining bool
+	// Relay says that this daemon reads the configuration and the instance list
+	// for its place; the others learn them from peers.
+	Relay bool
 	// ends has the deadlines of leaving servers.
 	ends map[string]time.Time
 }
@@ -67,3 +72,29 @@
 	const defaultServiceTimeout = 30 * time.Second
 	return s.Timeout.Or(defaultServiceTimeout)
 }
+
+// Numbers of relays. A small fleet needs none: each daemon reads for itself.
+const (
+	readAllDaemons = 16
+	relaysPerPlace = 2
+)
+
+// relay reports whether this daemon reads for its place. Relays are chosen by
+// rendezvous hash of the known daemons rather than by a lease: two that read at
+// once do no harm, and a dead one is replaced as soon as its links are gone.
+func (c *controlState) relay() bool {
+	daemons := c.view.Daemons
+	if len(daemons) <= readAllDaemons {
+		return true
+	}
+	own := relayWeight(c.d.Settings.Place, c.d.Settings.Daemon)
+	before := 0
+	for _, other := range daemons {
+		if other.Place == c.d.Settings.Place && !other.Draining && relayWeight(other.Place, other.ID) > own {
+			before++
+		}
+	}
+	return before < relaysPerPlace
+}
+
+func relayWeight(place, daemon string) uint64 { return xxhash.Sum64String(place + "\x00" + daemon) }
--- a/internal/routing/capacity.go
+++ b/internal/routing/capacity.go
@@ -42,3 +42,12 @@
 	}
 	return free
 }
+
+// Servers returns the servers of a service.
+func (t *Table) Servers(service string) []Server {
+	found := make([]Server, 0, len(t.services[service]))
+	for _, i := range t.services[service] {
+		found = append(found, t.servers[i])
+	}
+	return found
+}
