--- a/internal/admission/estimate.go
+++ b/internal/admission/estimate.go
@@ -78,9 +78,9 @@
 // the allowed output requests of its rank used lately.
 func (p *pool) cost(q *Queue, rank int, r Request) float64 {
 	rq := &p.ranks[rank]
-	output := rq.output.or(defaultOutput)
+	output := rq.output.or(p.output.or(defaultOutput))
 	if r.MaxTokens > 0 {
-		output = float64(r.MaxTokens) * rq.fill.or(defaultFill)
+		output = float64(r.MaxTokens) * rq.fill.or(p.fill.or(defaultFill))
 	}
 	return max(1, float64(r.PromptTokens)*q.PromptWeight+output)
 }
@@ -98,8 +98,11 @@
 	}
 	rq := &p.ranks[it.flow.rank]
 	rq.output.add(float64(u.OutputTokens))
+	p.output.add(float64(u.OutputTokens))
 	if it.req.MaxTokens > 0 {
-		rq.fill.add(float64(u.OutputTokens) / float64(it.req.MaxTokens))
+		fill := float64(u.OutputTokens) / float64(it.req.MaxTokens)
+		rq.fill.add(fill)
+		p.fill.add(fill)
 	}
 }
 
--- a/internal/admission/flow.go
+++ b/internal/admission/flow.go
@@ -20,7 +20,10 @@
 	slotTime   decayed
 	ended      decayed
 	firstToken mean
-	refused    windowed
+	// fill and output of all ranks stand in for a rank without samples.
+	fill    mean
+	output  mean
+	refused windowed
 }
 
 // rankQueue is the waiting work of one rank in a pool.
