operations, cmd: add check, apply, show, drain and version

apply stores a configuration by compare-and-swap on the revision that it read. After a lost answer it reads the key back; repeating the write on the same base revision is safe. A marker in the stored text that would tell was ruled out: daemons and operators would no longer see the text that was applied.

--- a/cmd/apricotbridge/main.go
+++ b/cmd/apricotbridge/main.go
@@ -48,9 +48,12 @@
 	root := &cobra.Command{
 		Use:           "apricotbridge",
 		Short:         "Serve models and order services on reclaimable instances",
+		Example:       "  apricotbridge check samples/shrestha.jsonc",
 		SilenceErrors: true,
 		SilenceUsage:  true,
 	}
 	root.AddCommand(newServe(), newStandin())
+	root.AddCommand(newCheck(), newApply(), newShow(), newDrain(), newVersion())
+	addCompletion(root)
 	return root
 }
--- /dev/null
+++ b/internal/operations/apply_test.go
@@ -0,0 +1,287 @@
+package operations
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+
+	"apricotbridge/internal/document"
+	"apricotbridge/internal/keyvalue"
+	"apricotbridge/internal/standin"
+)
+
+// hooked is a stand-in of the key-value service whose calls a test can change.
+type hooked struct {
+	*standin.KeyValue
+	swap func(n int, do func() (keyvalue.Entry, error)) (keyvalue.Entry, error)
+	get  func(n int) error
+
+	mu          sync.Mutex
+	swaps, gets int
+}
+
+func (h *hooked) CompareAndSwap(ctx context.Context, key string, value []byte, revision int64, lease string) (keyvalue.Entry, error) {
+	h.mu.Lock()
+	h.swaps++
+	n := h.swaps
+	h.mu.Unlock()
+	do := func() (keyvalue.Entry, error) { return h.KeyValue.CompareAndSwap(ctx, key, value, revision, lease) }
+	if h.swap == nil {
+		return do()
+	}
+	return h.swap(n, do)
+}
+
+func (h *hooked) Get(ctx context.Context, key string) (keyvalue.Entry, error) {
+	h.mu.Lock()
+	h.gets++
+	n := h.gets
+	h.mu.Unlock()
+	if h.get != nil {
+		if err := h.get(n); err != nil {
+			return keyvalue.Entry{}, err
+		}
+	}
+	return h.KeyValue.Get(ctx, key)
+}
+
+// sample returns a valid configuration with the given name.
+func sample(t testing.TB, name string) []byte {
+	text, err := os.ReadFile("../../samples/shrestha.jsonc")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return []byte(strings.Replace(string(text), "Shrestha Sukuti Order Routing Service Annex", name, -1))
+}
+
+// TestApply guards against overwriting another operator's configuration, and
+// against reporting a write as failed that took effect.
+func TestApply(t *testing.T) {
+	mine, old, theirs := sample(t, "mine"), sample(t, "old"), sample(t, "theirs")
+	unseen := int64(99)
+	// store writes a text as another operator.
+	store := func(k *standin.KeyValue, text []byte) {
+		e, err := k.Get(context.Background(), configurationKey)
+		if err != nil && !errors.Is(err, keyvalue.ErrNotFound) {
+			t.Fatal(err)
+		}
+		if _, err := k.CompareAndSwap(context.Background(), configurationKey, text, e.Revision, ""); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for name, c := range map[string]struct {
+		before [][]byte
+		text   []byte
+		expect *int64
+		hooks  func(h *hooked)
+		want   Applied
+		// wantErr is part of the error, wantDiff of the difference shown.
+		wantErr, wantDiff string
+		unavailable       bool
+		stored            []byte
+	}{
+		"first":  {want: Applied{Revision: 1}, stored: mine},
+		"next":   {before: [][]byte{old}, want: Applied{Revision: 2, Previous: 1}, stored: mine},
+		"same":   {before: [][]byte{mine}, expect: &unseen, want: Applied{Revision: 1, Previous: 1, Unchanged: true}, stored: mine},
+		"faults": {text: []byte(`{"Regions": []}`), before: [][]byte{old}, wantErr: "configuration.jsonc:1:1: Places: is required", stored: old},
+		"expected another revision": {
+			before: [][]byte{old}, expect: &unseen, wantErr: "at revision 1, not 99", wantDiff: `+  "Name": "mine"`, stored: old,
+		},
+		"race": {
+			before: [][]byte{old},
+			hooks: func(h *hooked) {
+				h.swap = func(_ int, do func() (keyvalue.Entry, error)) (keyvalue.Entry, error) {
+					store(h.KeyValue, theirs)
+					return do()
+				}
+			},
+			wantErr: "at revision 2, not 1", wantDiff: `+  "Name": "theirs"`, stored: theirs,
+		},
+		"answer lost": {
+			before: [][]byte{old},
+			hooks: func(h *hooked) {
+				h.SetFaults(standin.Faults{LoseAnswers: 1})
+			},
+			want: Applied{Revision: 2, Previous: 1, ReadBack: true}, stored: mine,
+		},
+		"call lost": {
+			hooks: func(h *hooked) {
+				h.swap = func(n int, do func() (keyvalue.Entry, error)) (keyvalue.Entry, error) {
+					if n == 1 {
+						return keyvalue.Entry{}, keyvalue.ErrUnknown
+					}
+					return do()
+				}
+			},
+			want: Applied{Revision: 1}, stored: mine,
+		},
+		"write lands after the read back": {
+			hooks: func(h *hooked) {
+				h.swap = func(n int, do func() (keyvalue.Entry, error)) (keyvalue.Entry, error) {
+					if n == 1 {
+						return keyvalue.Entry{}, keyvalue.ErrUnknown
+					}
+					store(h.KeyValue, mine)
+					return do()
+				}
+			},
+			want: Applied{Revision: 1, ReadBack: true}, stored: mine,
+		},
+		"answer lost and replaced": {
+			hooks: func(h *hooked) {
+				h.swap = func(_ int, do func() (keyvalue.Entry, error)) (keyvalue.Entry, error) {
+					_, _ = do()
+					store(h.KeyValue, theirs)
+					return keyvalue.Entry{}, keyvalue.ErrUnknown
+				}
+			},
+			wantErr: "whether this configuration was stored before it is not known", unavailable: true, stored: theirs,
+		},
+		"outage": {
+			before: [][]byte{old}, hooks: func(h *hooked) { h.SetFaults(standin.Faults{Down: true}) },
+			wantErr: "key-value service unavailable", unavailable: true, stored: old,
+		},
+		"answer lost, then an outage that ends after the time": {
+			hooks: func(h *hooked) {
+				h.swap = func(_ int, do func() (keyvalue.Entry, error)) (keyvalue.Entry, error) {
+					_, _ = do()
+					return keyvalue.Entry{}, keyvalue.ErrUnknown
+				}
+				h.get = func(n int) error {
+					if n == 2 {
+						return keyvalue.ErrUnavailable
+					}
+					return nil
+				}
+			},
+			want: Applied{Revision: 1, ReadBack: true}, stored: mine,
+		},
+		"answer lost, then an outage": {
+			hooks: func(h *hooked) {
+				h.swap = func(_ int, do func() (keyvalue.Entry, error)) (keyvalue.Entry, error) {
+					_, _ = do()
+					return keyvalue.Entry{}, keyvalue.ErrUnknown
+				}
+				h.get = func(n int) error {
+					if n > 1 {
+						return keyvalue.ErrUnavailable
+					}
+					return nil
+				}
+			},
+			wantErr: "could not be read back", unavailable: true, stored: mine,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := &hooked{KeyValue: standin.NewKeyValue(1)}
+			for _, text := range c.before {
+				store(h.KeyValue, text)
+			}
+			if c.hooks != nil {
+				c.hooks(h)
+			}
+			if c.text == nil {
+				c.text = mine
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+			defer cancel()
+			got, err := Apply(ctx, h, "configuration.jsonc", c.text, c.expect)
+			if (err == nil) != (c.wantErr == "") || err != nil && !strings.Contains(err.Error(), c.wantErr) {
+				t.Fatalf("error is %v; want %q", err, c.wantErr)
+			}
+			if got != c.want {
+				t.Errorf("got %+v; want %+v", got, c.want)
+			}
+			if errors.Is(err, ErrUnavailable) != c.unavailable {
+				t.Errorf("error %v counts as unavailable: %v", err, !c.unavailable)
+			}
+			var conflict *ConflictError
+			if errors.As(err, &conflict) != (c.wantDiff != "") || conflict != nil && !strings.Contains(conflict.Diff, c.wantDiff) {
+				t.Errorf("conflict is %+v; want a difference with %q", conflict, c.wantDiff)
+			}
+			h.SetFaults(standin.Faults{})
+			if e, err := h.KeyValue.Get(context.Background(), configurationKey); err != nil || string(e.Value) != string(c.stored) {
+				t.Errorf("stored text is not the expected one (%v)", err)
+			}
+		})
+	}
+}
+
+// TestApplyRaces guards against lost updates among operators whose answers are
+// lost at random: each reported success is a write that followed the revision it
+// names, and no reported conflict wrote anything.
+func TestApplyRaces(t *testing.T) {
+	for seed := uint64(1); seed <= 20; seed++ {
+		h := &hooked{KeyValue: standin.NewKeyValue(seed)}
+		h.SetFaults(standin.Faults{LoseAnswers: 0.5})
+		var mu sync.Mutex
+		writes := map[int64]string{} // by revision
+		h.swap = func(_ int, do func() (keyvalue.Entry, error)) (keyvalue.Entry, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			e, err := do()
+			if e.Revision != 0 {
+				writes[e.Revision] = string(e.Value)
+			}
+			return e, err
+		}
+		var wait sync.WaitGroup
+		for operator := range 4 {
+			text := sample(t, fmt.Sprintf("operator %d", operator))
+			wait.Add(1)
+			go func() {
+				defer wait.Done()
+				ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+				defer cancel()
+				applied, err := Apply(ctx, h, "configuration.jsonc", text, nil)
+				mu.Lock()
+				defer mu.Unlock()
+				var conflict *ConflictError
+				switch {
+				case err == nil:
+					if writes[applied.Revision] != string(text) {
+						t.Errorf("seed %d: revision %d does not hold the text that was applied", seed, applied.Revision)
+					}
+					for r := range writes {
+						if r > applied.Previous && r < applied.Revision {
+							t.Errorf("seed %d: revision %d was overwritten unseen by %d", seed, r, applied.Revision)
+						}
+					}
+				case errors.As(err, &conflict):
+					for r, written := range writes {
+						if written == string(text) {
+							t.Errorf("seed %d: conflict reported, but revision %d was written", seed, r)
+						}
+					}
+				case !errors.Is(err, ErrUnavailable):
+					t.Errorf("seed %d: %v", seed, err)
+				}
+			}()
+		}
+		wait.Wait()
+	}
+}
+
+// TestSamples guards against samples that check refuses or does not recognise.
+func TestSamples(t *testing.T) {
+	files, err := filepath.Glob("../../samples/*.jsonc")
+	if err != nil || len(files) < 3 {
+		t.Fatalf("samples are missing: %v, %v", files, err)
+	}
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if faults, err := Check(file, text, ""); err != nil || len(faults) > 0 {
+			t.Errorf("%s: %v\n%v", file, err, document.Error(faults))
+		}
+	}
+}
