operations, cmd: make the apply races bite and fix completion

Now each applies ten times and the revision that it read first is recorded.

The completion command wrote to standard output whatever the output was set to, because cobra keeps the output when the command is added; TestCommands was red. It is now added after the output is set.

--- a/cmd/apricotbridge/commands_test.go
+++ b/cmd/apricotbridge/commands_test.go
@@ -30,6 +30,7 @@
 	root.SetOut(&out)
 	root.SetErr(&out)
 	root.SetArgs(args)
+	addCompletion(root)
 	err := root.ExecuteContext(t.Context())
 	if err != nil {
 		out.WriteString(err.Error())
@@ -108,7 +109,9 @@
 			visit(sub)
 		}
 	}
-	visit(newRoot())
+	root := newRoot()
+	addCompletion(root)
+	visit(root)
 }
 
 // deployment is a daemon with the stand-ins of the outside systems around it.
--- a/cmd/apricotbridge/completion.go
+++ b/cmd/apricotbridge/completion.go
@@ -3,7 +3,8 @@
 import "github.com/spf13/cobra"
 
 // addCompletion adds cobra's command that prints shell completion, with an
-// example for each shell.
+// example for each shell. It runs after the output is set, which the command keeps
+// from then on.
 func addCompletion(root *cobra.Command) {
 	root.InitDefaultCompletionCmd()
 	for _, c := range root.Commands() {
--- a/cmd/apricotbridge/main.go
+++ b/cmd/apricotbridge/main.go
@@ -36,6 +36,7 @@
 	defer stop()
 	root := newRoot()
 	root.SetArgs(args)
+	addCompletion(root)
 	err := root.ExecuteContext(ctx)
 	if err == nil {
 		return 0
@@ -54,6 +55,5 @@
 	}
 	root.AddCommand(newServe(), newStandin())
 	root.AddCommand(newCheck(), newApply(), newShow(), newDrain(), newVersion())
-	addCompletion(root)
 	return root
 }
--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -67,7 +67,32 @@
 // Read parses a text, looks for duplicate keys and validates it against the
 // schema. A document that is not JSON with comments has that one fault only.
 func Read(file string, text []byte, schema *Schema) *Document {
-	// The parser keeps references to its input and Standardize changes it.
+	d := parse(file, text)
+	if d.root != nil {
+		d.duplicates(d.root, nil)
+		schema.validate(d)
+	}
+	return d
+}
+
+// Members returns the names of the members of a text that is an object, or nil
+// when it is none or cannot be parsed.
+func Members(text []byte) map[string]bool {
+	o, ok := valueOf(parse("", text).root).(*hujson.Object)
+	if !ok {
+		return nil
+	}
+	found := map[string]bool{}
+	for i := range o.Members {
+		found[o.Members[i].Name.Value.(hujson.Literal).String()] = true
+	}
+	return found
+}
+
+// parse returns the document with its syntax tree, or with the fault that left it
+// without one.
+func parse(file string, text []byte) *Document {
+	// The parser keeps references to its input.
 	d := &Document{file: file, text: bytes.Clone(text), faulty: map[string]bool{}}
 	if len(text) > maxBytes {
 		d.faults = []Fault{{File: file, Line: 1, Column: 1, Message: fmt.Sprintf("document has %d bytes; the limit is %d", len(text), maxBytes)}}
@@ -84,8 +109,6 @@
 		return d
 	}
 	d.root = &root
-	d.duplicates(d.root, nil)
-	schema.validate(d)
 	return d
 }
 
--- a/internal/operations/apply_test.go
+++ b/internal/operations/apply_test.go
@@ -58,7 +58,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return []byte(strings.Replace(string(text), "Shrestha Sukuti Order Routing Service Annex", name, -1))
+	return []byte(strings.ReplaceAll(string(text), "Shrestha Sukuti Order Routing Service Annex", name))
 }
 
 // TestApply guards against overwriting another operator's configuration, and
@@ -214,9 +214,24 @@
 	}
 }
 
+// firstRead records the revision that an apply reads first.
+type firstRead struct {
+	*hooked
+	read     bool
+	revision int64
+}
+
+func (f *firstRead) Get(ctx context.Context, key string) (keyvalue.Entry, error) {
+	e, err := f.hooked.Get(ctx, key)
+	if !f.read {
+		f.read, f.revision = true, e.Revision
+	}
+	return e, err
+}
+
 // TestApplyRaces guards against lost updates among operators whose answers are
-// lost at random: each reported success is a write that followed the revision it
-// names, and no reported conflict wrote anything.
+// lost at random: no success overwrote a revision that its operator had not read,
+// and no reported conflict wrote anything.
 func TestApplyRaces(t *testing.T) {
 	for seed := uint64(1); seed <= 20; seed++ {
 		h := &hooked{KeyValue: standin.NewKeyValue(seed)}
@@ -232,36 +247,45 @@
 			}
 			return e, err
 		}
+		// judge returns what is wrong with the outcome of one apply.
+		judge := func(applied Applied, err error, seen int64, text string) string {
+			mu.Lock()
+			defer mu.Unlock()
+			var conflict *ConflictError
+			switch {
+			case err == nil && writes[applied.Revision] != text:
+				return fmt.Sprintf("revision %d does not hold the text that was applied", applied.Revision)
+			case err == nil:
+				for r := range writes {
+					if r > seen && r < applied.Revision {
+						return fmt.Sprintf("revision %d was overwritten unseen by %d, which had read %d", r, applied.Revision, seen)
+					}
+				}
+			case errors.As(err, &conflict):
+				for r, written := range writes {
+					if written == text {
+						return fmt.Sprintf("conflict reported, but revision %d was written", r)
+					}
+				}
+			case !errors.Is(err, ErrUnavailable):
+				return err.Error()
+			}
+			return ""
+		}
 		var wait sync.WaitGroup
 		for operator := range 4 {
-			text := sample(t, fmt.Sprintf("operator %d", operator))
 			wait.Add(1)
 			go func() {
 				defer wait.Done()
-				ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-				defer cancel()
-				applied, err := Apply(ctx, h, "configuration.jsonc", text, nil)
-				mu.Lock()
-				defer mu.Unlock()
-				var conflict *ConflictError
-				switch {
-				case err == nil:
-					if writes[applied.Revision] != string(text) {
-						t.Errorf("seed %d: revision %d does not hold the text that was applied", seed, applied.Revision)
-					}
-					for r := range writes {
-						if r > applied.Previous && r < applied.Revision {
-							t.Errorf("seed %d: revision %d was overwritten unseen by %d", seed, r, applied.Revision)
-						}
-					}
-				case errors.As(err, &conflict):
-					for r, written := range writes {
-						if written == string(text) {
-							t.Errorf("seed %d: conflict reported, but revision %d was written", seed, r)
-						}
+				for round := range 10 {
+					text := sample(t, fmt.Sprintf("operator %d, round %d", operator, round))
+					ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+					f := &firstRead{hooked: h}
+					applied, err := Apply(ctx, f, "configuration.jsonc", text, nil)
+					cancel()
+					if wrong := judge(applied, err, f.revision, string(text)); wrong != "" {
+						t.Errorf("seed %d: %s", seed, wrong)
 					}
-				case !errors.Is(err, ErrUnavailable):
-					t.Errorf("seed %d: %v", seed, err)
 				}
 			}()
 		}
--- a/internal/operations/check.go
+++ b/internal/operations/check.go
@@ -7,7 +7,6 @@
 	"strings"
 
 	"github.com/juju/errors"
-	"github.com/tailscale/hujson"
 
 	"apricotbridge/internal/document"
 	"apricotbridge/internal/settings"
@@ -62,17 +61,14 @@
 // recognise returns the kind with more of its members in the text. A text that
 // cannot be parsed counts as a configuration, because its faults are the same.
 func recognise(text []byte) (FileKind, error) {
-	if !document.Read("", text, anything).Readable() {
-		return ConfigurationFile, nil
-	}
-	v, err := hujson.Parse(text)
-	if err != nil {
+	members := document.Members(text)
+	if members == nil {
 		return ConfigurationFile, nil
 	}
 	found := map[FileKind]int{}
-	for kind, members := range membersOf {
-		for _, member := range members {
-			if v.Find("/"+member) != nil {
+	for kind, own := range membersOf {
+		for _, member := range own {
+			if members[member] {
 				found[kind]++
 			}
 		}
@@ -86,9 +82,6 @@
 	return "", ErrKind
 }
 
-// anything is a schema that each document satisfies.
-var anything = document.MustCompile([]byte("{}"))
-
 // Faults formats faults one a line.
 func Faults(faults []document.Fault) string {
 	lines := make([]string, len(faults))
