--- a/cmd/apricotbridge/main.go
+++ b/cmd/apricotbridge/main.go
@@ -36,6 +36,7 @@
 	defer stop()
 	root := newRoot()
 	root.SetArgs(args)
+	addCompletion(root)
 	err := root.ExecuteContext(ctx)
 	if err == nil {
 		return 0
@@ -48,9 +49,11 @@
 	root := &cobra.Command{
 		Use:           "apricotbridge",
 		Short:         "Serve models and order services on reclaimable instances",
+		Example:       "  apricotbridge check samples/shrestha.jsonc",
 		SilenceErrors: true,
 		SilenceUsage:  true,
 	}
 	root.AddCommand(newServe(), newStandin())
+	root.AddCommand(newCheck(), newApply(), newShow(), newDrain(), newVersion())
 	return root
 }
