entry: continue a stream by resume or KV cache import where that is cheaper

Cause: every continuation recomputed the prompt and the generated tokens. A stream that breaks off while its engine still answers is now resumed there; one whose engine is leaving takes its KV cache along when the router's cost of the import, with the size per token measured at earlier exports, is below that of the recomputation. A preempted stream is cancelled at once, so that its slot is free.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -86,7 +86,8 @@
 // Counts are events since the start.
 type Counts struct {
 	Granted, Retried, Preempted, Refused int64
-	RecomputedTokens                     int64
+	// RecomputedTokens were computed again because an attempt did not finish.
+	RecomputedTokens int64
 }
 
 // New returns a dispatcher without servers.
@@ -221,9 +222,8 @@
 }
 
 // Retry puts a request back into the queue after an attempt, or returns the
-// problem with which it ends. recompute is the number of tokens that the next
-// attempt computes again.
-func (d *Dispatcher) Retry(now time.Time, id string, ending Ending, recompute int) *problem.Problem {
+// problem with which it ends.
+func (d *Dispatcher) Retry(now time.Time, id string, ending Ending) *problem.Problem {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	w := d.works[id]
@@ -250,7 +250,6 @@
 		return problem.New(problem.BackendFailed, "server %s failed and the retry budget is used up", w.server.ID)
 	}
 	d.counts.Retried++
-	d.counts.RecomputedTokens += int64(recompute)
 	w.running, w.generated = false, 0
 	d.Queue.Return(now, used)
 	d.pump(now)
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -65,6 +65,18 @@
 	return time.Duration(float64(tokens) / rate * float64(time.Second))
 }
 
+// Continue decides how the next attempt of a request goes on after the one
+// before it, and counts the tokens that it computes again.
+func (d *Dispatcher) Continue(in routing.ResumeInput) routing.ResumeDecision {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	decision := d.Router.ResumeCost(in, d.table)
+	if decision.Way == routing.ResumeRecompute {
+		d.counts.RecomputedTokens += int64(decision.RecomputedTokens)
+	}
+	return decision
+}
+
 // Usage appends what this daemon served, for its peers.
 func (d *Dispatcher) Usage(now time.Time, buf []admission.PeerUsage) []admission.PeerUsage {
 	d.mu.Lock()
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -93,11 +93,17 @@
 }
 
 // fail ends an attempt without completing the answer.
-func (a *answer) fail(attempt, recompute int) {
+func (a *answer) fail(attempt int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.buffer.Fail(attempt)
-	a.recomputed += recompute
+}
+
+// recompute counts tokens that an attempt computes again.
+func (a *answer) recompute(tokens int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.recomputed += tokens
 }
 
 // abandon ends the answer with a problem. An answer that is whole stays so.
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -34,6 +34,7 @@
 		return p
 	}
 	failures := 0
+	defer d.cancelPrevious(call)
 	for {
 		grant, ok := d.turn(ctx, w)
 		if !ok {
@@ -63,11 +64,7 @@
 			d.dispatcher.Cancel(time.Now(), call.id)
 			return problem.New(problem.BackendFailed, "%d attempts failed", failures)
 		}
-		recompute := a.generated()
-		if recompute > 0 {
-			recompute += w.Request.PromptTokens
-		}
-		if p := d.dispatcher.Retry(time.Now(), call.id, ending, recompute); p != nil {
+		if p := d.dispatcher.Retry(time.Now(), call.id, ending); p != nil {
 			return p
 		}
 	}
@@ -138,43 +135,68 @@
 	if !ok {
 		return dispatch.Stopped, errors.Annotate(errStopped, "answer takes no more attempts")
 	}
-	stream := fmt.Sprintf("%s/%d", call.id, number)
-	q := engine.Request{Stream: stream, Body: call.body, Chat: call.chat, Priority: call.priority, Prior: prior, Blocks: w.Call.Blocks}
-	var load *routing.Load
-	q.Started = func(l engine.Load) { load = &routing.Load{Running: l.Running, Waiting: l.Waiting} }
-	first := true
-	generated := len(prior)
-	err := d.Engine.Stream(ctx, server.Address, q, func(t engine.Token) error {
-		now := time.Now()
-		if first {
-			first = false
-			d.dispatcher.FirstToken(now, call.id)
-			d.metrics.firstToken(call.rank, now.Sub(call.received), len(prior) == 0)
-		}
-		generated++
-		if generated%progressTokens == 0 {
-			d.dispatcher.Progress(call.id, generated-len(prior))
+	s := &attemptStream{d: d, call: call, answer: a, number: number, id: fmt.Sprintf("%s/%d", call.id, number), prior: len(prior), generated: len(prior)}
+	d.continueFrom(ctx, call, a, w, server, s.id)
+	d.cancelPrevious(call)
+	q := engine.Request{Stream: s.id, Body: call.body, Chat: call.chat, Priority: call.priority, Prior: prior, Blocks: w.Call.Blocks}
+	q.Started = func(l engine.Load) { s.load = &routing.Load{Running: l.Running, Waiting: l.Waiting} }
+	err := d.Engine.Stream(ctx, server.Address, q, s.token)
+	ending := dispatch.Broken
+	for resumes := 0; err != nil; resumes++ {
+		ending = d.endingOf(ctx, err, server)
+		if ending != dispatch.Broken || resumes >= maxResumes || !errors.Is(err, engine.ErrBroken) {
+			break
 		}
-		return a.append(number, t)
-	})
+		// The engine is there and keeps the stream for a while.
+		d.Log.Info("stream resumed at its engine", "RequestID", call.id, "Server", server.ID, "After", s.generated, "Error", err.Error())
+		err = d.Engine.Resume(ctx, server.Address, s.id, s.generated, s.token)
+	}
 	if err == nil && a.end(number) {
-		d.finishWork(call, a, generated-len(prior), load)
+		d.finishWork(call, a, s.generated-s.prior, s.load)
 		return 0, nil
 	}
 	if err == nil {
 		err = errors.Annotate(engine.ErrBroken, "answer is not complete")
 	}
-	ending := d.endingOf(ctx, err, server)
-	d.dispatcher.Progress(call.id, generated-len(prior))
-	recompute := 0
-	if generated > 0 {
-		recompute = w.Request.PromptTokens + generated
+	d.dispatcher.Progress(call.id, s.generated-s.prior)
+	a.fail(number)
+	call.previous = &previousAttempt{server: server, stream: s.id, alive: ending == dispatch.Stopped && d.leaving(server)}
+	if !call.previous.alive {
+		d.cancelPrevious(call) // A preempted stream frees its slot at once.
 	}
-	a.fail(number, recompute)
-	d.cancelAt(server.Address, stream)
 	return ending, err
 }
 
+// maxResumes bounds the resumes of one attempt at its engine.
+const maxResumes = 2
+
+// attemptStream takes the tokens of one attempt.
+type attemptStream struct {
+	d         *Daemon
+	call      *modelCall
+	answer    *answer
+	number    int
+	id        string
+	prior     int
+	generated int
+	load      *routing.Load
+}
+
+func (s *attemptStream) token(t engine.Token) error {
+	if s.generated == s.prior {
+		now := time.Now()
+		s.d.dispatcher.FirstToken(now, s.call.id)
+		if s.prior == 0 {
+			s.d.metrics.firstToken(s.call.rank, now.Sub(s.call.received))
+		}
+	}
+	s.generated++
+	if s.generated%progressTokens == 0 {
+		s.d.dispatcher.Progress(s.call.id, s.generated-s.prior)
+	}
+	return s.answer.append(s.number, t)
+}
+
 // progressTokens is how often the dispatcher learns the length of an answer.
 const progressTokens = 16
 
@@ -224,17 +246,6 @@
 	return nil
 }
 
-// cancelAt ends an attempt at its engine, which would run on for a resume.
-func (d *Daemon) cancelAt(address, stream string) {
-	d.answers.running.Add(1)
-	go func() {
-		defer d.answers.running.Done()
-		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-		defer cancel()
-		_ = d.Engine.Cancel(ctx, address, stream) // An engine that is gone has ended it.
-	}()
-}
-
 // logRouting writes the log line of a routing decision.
 func (d *Daemon) logRouting(id, service string, attempt int, g dispatch.Grant) {
 	t := g.Decision.Terms
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -51,6 +51,8 @@
 	Cancel(ctx context.Context, address, stream string) error
 	CacheEvents(ctx context.Context, address string, after int64) ([]engine.CacheEvent, error)
 	Load(ctx context.Context, address string) (engine.Load, error)
+	Export(ctx context.Context, address, stream string) ([]byte, error)
+	Import(ctx context.Context, address, stream string, cache []byte) error
 }
 
 // plainService passes calls to plain services.
@@ -98,6 +100,7 @@
 	work      context.Context
 	registrar atomic.Pointer[registrar.Registrar]
 	orders    orders
+	transfers transfers
 	metrics   *telemetry
 	drainOnce sync.Once
 }
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -26,12 +26,9 @@
 
 func newTelemetry() *telemetry { return &telemetry{registry: metrics.NewRegistry()} }
 
-// firstToken records the time to the first token of a request; a later attempt
-// of the same request is not one.
-func (t *telemetry) firstToken(rank string, took time.Duration, first bool) {
-	if first {
-		t.histogram("first_token_seconds", rank).Update(int64(took))
-	}
+// firstToken records the time to the first token of a request.
+func (t *telemetry) firstToken(rank string, took time.Duration) {
+	t.histogram("first_token_seconds", rank).Update(int64(took))
 }
 
 // tokens records what an answer cost.
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -50,6 +50,8 @@
 	received     time.Time
 	// durable is set for a draft that was accepted with 202.
 	durable bool
+	// previous is the attempt before the present one.
+	previous *previousAttempt
 }
 
 func (d *Daemon) serveCompletion(w http.ResponseWriter, r *http.Request, c *caller) *problem.Problem {
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -168,7 +168,7 @@
 	if notStarted {
 		ending = dispatch.NotStarted
 	}
-	return d.dispatcher.Retry(now, q.id, ending, 0)
+	return d.dispatcher.Retry(now, q.id, ending)
 }
 
 func writeAnswer(w http.ResponseWriter, a *service.Answer) {
