--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -20,6 +20,30 @@
 	Value []byte `json:"Value"`
 }
 
+// Daemon is one daemon as the sender knows it.
+type Daemon struct {
+	// Address on which it serves callers.
+	CallerAddress string `json:"CallerAddress"`
+
+	// Whether it is leaving.
+	Draining bool `json:"Draining,omitempty,omitzero"`
+
+	// Id of the daemon.
+	ID string `json:"ID"`
+
+	// Address on which it takes peer links.
+	PeerAddress string `json:"PeerAddress"`
+
+	// Place of the daemon.
+	Place string `json:"Place"`
+
+	// Region of the daemon.
+	Region string `json:"Region"`
+
+	// Start number; a higher one is a restart with the same id.
+	Start int64 `json:"Start"`
+}
+
 // Digest summarises the shared state of the sender, so that a peer sends what is
 // missing.
 type Digest struct {
@@ -93,9 +117,16 @@
 	// Whether the answer is whole with this part.
 	Last bool `json:"Last"`
 
+	// Whether the receiver refused the call before it started the request; set with
+	// Failed.
+	NotStarted bool `json:"NotStarted,omitempty,omitzero"`
+
 	// Number of the part, from 0; a gap fails the call.
 	Part int `json:"Part"`
 
+	// Why the call failed, for the log.
+	Reason string `json:"Reason,omitempty,omitzero"`
+
 	// HTTP status, in part 0.
 	Status int `json:"Status,omitempty,omitzero"`
 }
@@ -174,6 +205,9 @@
 	// Region of the sender.
 	Region string `json:"Region"`
 
+	// Start number of the sender; a higher one is a restart with the same id.
+	Start int64 `json:"Start,omitempty,omitzero"`
+
 	// Secret shared by the daemons.
 	Token string `json:"Token,omitempty,omitzero"`
 
@@ -219,8 +253,11 @@
 	State int `json:"State"`
 }
 
-// Members carries changed backend server states.
+// Members carries changed backend server states and daemons.
 type Members struct {
+	// Daemons, in full at the start of a link and else those that changed.
+	Daemons []Daemon `json:"Daemons,omitempty,omitzero"`
+
 	// States.
 	Members []Member `json:"Members"`
 }
