entry: exchange state with peers, forward and hand over requests

Cause: a daemon knew others only from the key-value service, could not reach the holder of a ledger shard, and a drain waited for every stream. Daemons now exchange digests each second and repair what differs; new revisions, member states and suspects are pushed at once. Requests for a shard or a stream held elsewhere are forwarded. A request that will not be done by the deadline of a drain moves to a daemon in another place of the region, which resumes the stream at its engine; its caller gets the event "moved" with the entry to resume at. A request whose caller is gone for 20 s is ended.

Ruled out: leases for the relays of configuration, because two readers at once do no harm and a rendezvous choice replaces a dead one sooner than a lease of 30 s lapses. Sending all usage rows each second, because the rows of 8 daemons over 6 links take 29 KB/s; only changed rows go, and the period grows with their number.

Run: go test -race ./internal/demo (stream survives its engine, hand-over on reclaim with 4 s of notice), go test ./cmd/apricotbridge -run TestDeployments: orders are forwarded between six processes.

--- a/internal/entry/adopt.go
+++ b/internal/entry/adopt.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"apricotbridge/internal/membership"
 	"apricotbridge/pkg/config"
 )
 
@@ -24,8 +23,7 @@
 		return
 	}
 	c.view.Confirmed = source
+	c.text = text
 	c.adopt(revision, parsed)
+	c.pushConfiguration()
 }
-
-// shareMembers tells peers what changed.
-func (d *Daemon) shareMembers(_ []membership.Change) {}
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -21,6 +21,16 @@
 	chat         bool
 	model        string
 	created      time.Time
+	// priority and maxTokens order and bound the hand-over of a drain; a durable
+	// answer is the ledger's, which runs it again elsewhere.
+	priority  int
+	maxTokens int
+	durable   bool
+	// leave is closed when the request has to move to another daemon.
+	leave     chan struct{}
+	leaveOnce sync.Once
+	// cancel ends the request when nobody has read its answer for unreadFor.
+	cancel context.CancelFunc
 
 	mu     sync.Mutex
 	buffer *stream.Buffer
@@ -35,12 +45,43 @@
 	moved   string
 	changed chan struct{}
 	forget  *time.Timer
+	readers int
+	unread  *time.Timer
 }
 
-func newAnswer(id, organisation, model string, chat bool, now time.Time) *answer {
+// unreadFor is how long a request goes on without a reader. It gives a caller that
+// was cut off the time to resume at another entry.
+const unreadFor = 20 * time.Second
+
+// attach notes a reader; the returned function ends it.
+func (a *answer) attach() (detach func()) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.readers++
+	if a.unread != nil {
+		a.unread.Stop()
+	}
+	return func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.readers--
+		a.watchReaders()
+	}
+}
+
+// watchReaders ends the request after a while unless a reader comes. The lock is
+// held. A durable answer needs no reader.
+func (a *answer) watchReaders() {
+	if state, _ := a.buffer.State(); a.readers == 0 && !a.durable && state == stream.Open {
+		a.unread = time.AfterFunc(unreadFor, a.cancel)
+	}
+}
+
+func (d *Daemon) newAnswer(call *modelCall) *answer {
 	return &answer{
-		id: id, organisation: organisation, model: model, chat: chat, created: now,
-		buffer: &stream.Buffer{}, changed: make(chan struct{}),
+		id: call.id, organisation: call.organisation, model: call.model, chat: call.chat, created: call.received,
+		priority: call.priority, maxTokens: call.maxTokens, durable: call.durable,
+		leave: make(chan struct{}), buffer: &stream.Buffer{}, changed: make(chan struct{}),
 	}
 }
 
@@ -202,9 +243,14 @@
 // start registers an answer and runs its producer.
 func (s *answers) start(ctx context.Context, a *answer, produce func(ctx context.Context) *problem.Problem) {
 	s.put(a)
+	ctx, a.cancel = context.WithCancel(ctx)
+	a.mu.Lock()
+	a.watchReaders()
+	a.mu.Unlock()
 	s.running.Add(1)
 	go func() {
 		defer s.running.Done()
+		defer a.cancel()
 		if p := produce(ctx); p != nil {
 			a.abandon(p)
 		}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -34,17 +34,26 @@
 		return p
 	}
 	failures := 0
+	leave := (<-chan struct{})(a.leave)
 	defer d.cancelPrevious(call)
 	for {
-		grant, ok := d.turn(ctx, w)
-		if !ok {
+		grant, err := d.turn(ctx, w, leave)
+		if errors.Is(err, errLeaving) {
+			if d.handOver(ctx, call, a) {
+				d.dispatcher.Cancel(time.Now(), call.id)
+				return nil
+			}
+			leave = nil
+			continue
+		}
+		if err != nil {
 			return problem.New(problem.Internal, "request was cancelled")
 		}
 		if grant.Problem != nil {
 			return grant.Problem
 		}
 		d.logRouting(call.id, call.service.Name, failures+1, grant)
-		ending, err := d.attempt(ctx, call, a, w, grant.Server, stop)
+		ending, err := d.attempt(ctx, call, a, w, grant.Server, stop, leave)
 		if err == nil {
 			return nil
 		}
@@ -52,6 +61,13 @@
 			d.dispatcher.Cancel(time.Now(), call.id)
 			return problem.New(problem.Internal, "request was cancelled")
 		}
+		if errors.Is(err, errLeaving) {
+			if d.handOver(ctx, call, a) {
+				d.dispatcher.Cancel(time.Now(), call.id)
+				return nil
+			}
+			leave = nil // No daemon took it; it goes on here.
+		}
 		if p := finalProblem(err); p != nil {
 			d.dispatcher.Cancel(time.Now(), call.id)
 			return p
@@ -96,21 +112,23 @@
 	}
 }
 
-// turn waits until the request gets a turn. It reports false when the context
-// ended first.
-func (d *Daemon) turn(ctx context.Context, w *dispatch.Work) (dispatch.Grant, bool) {
+// turn waits until the request gets a turn. It returns errLeaving when the
+// request has to move first.
+func (d *Daemon) turn(ctx context.Context, w *dispatch.Work, leave <-chan struct{}) (dispatch.Grant, error) {
 	select {
 	case grant := <-w.Grants():
-		return grant, true
+		return grant, nil
+	case <-leave:
+		return dispatch.Grant{}, errLeaving
 	case <-ctx.Done():
 		d.dispatcher.Cancel(time.Now(), w.Request.ID)
-		return dispatch.Grant{}, false
+		return dispatch.Grant{}, ctx.Err()
 	}
 }
 
 // attempt runs the request at one server. It returns nil when the answer is
 // complete, and otherwise how the attempt ended.
-func (d *Daemon) attempt(ctx context.Context, call *modelCall, a *answer, w *dispatch.Work, server routing.Server, stop <-chan struct{}) (dispatch.Ending, error) {
+func (d *Daemon) attempt(ctx context.Context, call *modelCall, a *answer, w *dispatch.Work, server routing.Server, stop, leave <-chan struct{}) (dispatch.Ending, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	select {
@@ -123,6 +141,8 @@
 		select {
 		case <-stop:
 			cancel(errStopped)
+		case <-leave:
+			cancel(errLeaving)
 		case <-ctx.Done():
 		}
 	}()
@@ -160,7 +180,13 @@
 	}
 	d.dispatcher.Progress(call.id, s.generated-s.prior)
 	a.fail(number)
-	call.previous = &previousAttempt{server: server, stream: s.id, alive: ending == dispatch.Stopped && d.leaving(server)}
+	handedOver := errors.Is(context.Cause(ctx), errLeaving)
+	if handedOver {
+		err = errors.Annotate(errLeaving, err.Error())
+	}
+	call.previous = &previousAttempt{
+		server: server, stream: s.id, alive: ending == dispatch.Stopped && (handedOver || d.leaving(server)),
+	}
 	if !call.previous.alive {
 		d.cancelPrevious(call) // A preempted stream frees its slot at once.
 	}
@@ -215,7 +241,7 @@
 // response broke off, and that was not told to leave, has crashed.
 func (d *Daemon) endingOf(ctx context.Context, err error, server routing.Server) dispatch.Ending {
 	switch {
-	case errors.Is(context.Cause(ctx), errStopped):
+	case errors.Is(context.Cause(ctx), errStopped), errors.Is(context.Cause(ctx), errLeaving):
 		return dispatch.Stopped
 	case errors.Is(err, engine.ErrNotStarted):
 		d.suspect(server)
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -28,6 +28,8 @@
 	view         *View
 	organisation *config.Organisation
 	received     time.Time
+	// forwarded is set for a request that another daemon passed on.
+	forwarded bool
 }
 
 // callerHandler answers a request or returns the problem to answer.
@@ -45,6 +47,7 @@
 	mux.HandleFunc("/", d.open("", func(_ http.ResponseWriter, r *http.Request, _ *caller) *problem.Problem {
 		return problem.New(problem.NotFound, "no such path %q", r.URL.Path)
 	}))
+	d.handler = mux
 	return &http.Server{
 		Handler:           mux,
 		ReadHeaderTimeout: d.Settings.HeaderTimeout.Or(defaultHeaderTimeout),
@@ -57,6 +60,10 @@
 func (d *Daemon) open(method string, h callerHandler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		c := &caller{id: d.newRequestID(), view: d.view.Load(), received: time.Now()}
+		from, forwarded := r.Context().Value(forwardedKey{}).(forwardedFrom)
+		if forwarded {
+			c.id, c.forwarded = from.requestID, true
+		}
 		w.Header().Set("X-Request-ID", c.id)
 		d.active.begin()
 		defer d.active.end()
@@ -86,6 +93,13 @@
 			p.RetryAfter = retryWithoutConfig
 			return p
 		}
+		if from, ok := r.Context().Value(forwardedKey{}).(forwardedFrom); ok {
+			c.organisation = c.view.Index.OrganisationNamed(from.organisation)
+			if c.organisation == nil {
+				return problem.New(problem.Unauthorized, "organisation %q is not configured here", from.organisation)
+			}
+			return h(w, r, c)
+		}
 		token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 		if !ok {
 			return problem.New(problem.Unauthorized, "header Authorization has no bearer token")
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -29,7 +29,10 @@
 	stale bool
 	// suspicion is when the next suspicion ends.
 	suspicion time.Time
-	view      View
+	exchange  exchange
+	// text is the configuration in force as it was applied.
+	text []byte
+	view View
 }
 
 // post hands an event to the control goroutine and waits while its queue is full.
@@ -97,6 +100,7 @@
 func (c *controlState) tick(now time.Time) {
 	c.changed(now, c.members.Tick(now))
 	c.daemons.Tick(now)
+	c.gossip(now)
 	if !c.suspicion.IsZero() && now.After(c.suspicion) {
 		c.stale, c.suspicion = true, time.Time{}
 	}
@@ -106,6 +110,12 @@
 func (c *controlState) publish(now time.Time) {
 	c.view.Daemons = c.daemons.Snapshot()
 	c.view.Entries = c.daemons.Entries(now, c.d.Settings.Place, c.d.Settings.Region, c.d.Settings.Daemon)
+	c.view.reached = make(map[string]bool, len(c.view.Daemons))
+	for _, other := range c.view.Daemons {
+		if c.daemons.Reached(now, other.ID) {
+			c.view.reached[other.ID] = true
+		}
+	}
 	c.view.Relay = c.relay()
 	if c.stale || c.view.Table == nil {
 		c.stale = false
@@ -200,7 +210,7 @@
 func (c *controlState) share(changes []membership.Change) {
 	shared := slices.DeleteFunc(slices.Clone(changes), func(ch membership.Change) bool { return !ch.Share })
 	if len(shared) > 0 {
-		c.d.shareMembers(shared)
+		c.pushMembers(shared)
 	}
 }
 
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -21,6 +21,7 @@
 	"apricotbridge/internal/engine"
 	"apricotbridge/internal/instances"
 	"apricotbridge/internal/keyvalue"
+	"apricotbridge/internal/peer"
 	"apricotbridge/internal/quarantine"
 	"apricotbridge/internal/registrar"
 	"apricotbridge/internal/routing"
@@ -99,6 +100,8 @@
 	// work is the context of requests, which go on when their caller is cut off.
 	work      context.Context
 	registrar atomic.Pointer[registrar.Registrar]
+	hub       *peer.Hub
+	handler   http.Handler
 	orders    orders
 	transfers transfers
 	metrics   *telemetry
@@ -149,18 +152,27 @@
 	if err != nil {
 		return errors.Annotate(err, "listen for callers")
 	}
+	peers, err := net.Listen("tcp", d.Settings.PeerListen)
+	if err != nil {
+		_ = callers.Close() // The first error is the one that matters.
+		return errors.Annotate(err, "listen for peers")
+	}
 	operators, err := net.Listen("tcp", orString(d.Settings.OperatorListen, "127.0.0.1:0"))
 	if err != nil {
 		_ = callers.Close() // The first error is the one that matters.
+		_ = peers.Close()
 		return errors.Annotate(err, "listen for operators")
 	}
 	d.addrs.caller = orString(d.Settings.CallerAddress, callers.Addr().String())
+	d.addrs.peer = orString(d.Settings.PeerAddress, peers.Addr().String())
 	d.addrs.operator = operators.Addr().String()
+	d.hub = d.newHub(peers)
 	d.work = ctx
 	d.answers.init()
 	d.dispatcher = d.newDispatcher()
 	d.view.Store(&View{})
 
+	server := d.callerServer()
 	t := newTasks(ctx)
 	t.start("control", d.control)
 	t.start("configuration", d.followConfiguration)
@@ -168,7 +180,8 @@
 	t.start("registration", d.register)
 	t.start("engine polls", d.pollEngines)
 	t.start("ledger", d.runLedger)
-	t.start("callers", func(ctx context.Context) error { return serveHTTP(ctx, d.callerServer(), callers) })
+	t.start("peers", d.hub.Run)
+	t.start("callers", func(ctx context.Context) error { return serveHTTP(ctx, server, callers) })
 	t.start("operators", func(ctx context.Context) error { return d.serveOperators(ctx, operators) })
 	close(d.ready)
 	d.Log.Info("daemon started", "CallerAddress", d.addrs.caller, "OperatorAddress", d.addrs.operator)
--- a/internal/entry/draft.go
+++ b/internal/entry/draft.go
@@ -134,7 +134,7 @@
 func (d *Daemon) dispatchDraft(ctx context.Context, l ledger.Dispatch) ledger.Outcome {
 	call, p := d.draftCall(l)
 	if p == nil {
-		a := newAnswer(call.id, call.organisation, call.model, call.chat, call.received)
+		a := d.newAnswer(call)
 		d.answers.put(a)
 		p = d.runModelCall(ctx, call, a)
 		if p == nil {
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -75,6 +75,11 @@
 		defer close(released)
 		d.releaseLedger(ctx, deadline)
 	}()
+	moving := make(chan struct{})
+	go func() {
+		defer close(moving)
+		d.handOverRequests(ctx, deadline)
+	}()
 	sleep(ctx, settle)
 	<-released
 	select {
@@ -83,5 +88,7 @@
 	case <-ctx.Done():
 		d.Log.Info("drain ended at its deadline")
 	}
+	cancel()
+	<-moving
 	close(d.drained)
 }
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -87,7 +87,7 @@
 // startModelCall runs a request on its own, so that a caller which was cut off
 // can resume.
 func (d *Daemon) startModelCall(call *modelCall) *answer {
-	a := newAnswer(call.id, call.organisation, call.model, call.chat, call.received)
+	a := d.newAnswer(call)
 	d.answers.start(d.work, a, func(ctx context.Context) *problem.Problem { return d.runModelCall(ctx, call, a) })
 	return a
 }
@@ -170,6 +170,7 @@
 
 // sendWhole waits for the complete answer and sends it as one JSON body.
 func (d *Daemon) sendWhole(w http.ResponseWriter, r *http.Request, a *answer) *problem.Problem {
+	defer a.attach()()
 	for {
 		got := a.read(0)
 		switch {
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/subtle"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/juju/errors"
@@ -82,9 +83,9 @@
 	if err := app.Build(); err != nil {
 		return errors.Annotate(err, "build operator API")
 	}
-	server := d.callerServer()
-	server.Handler = app
-	return serveHTTP(ctx, server, l)
+	return serveHTTP(ctx, &http.Server{
+		Handler: app, ReadHeaderTimeout: defaultHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}, l)
 }
 
 // checkOperator refuses requests without the operators' bearer token.
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -125,8 +125,8 @@
 		client = d.Service
 	}
 	for attempt := 1; ; attempt++ {
-		grant, ok := d.turn(ctx, w)
-		if !ok {
+		grant, err := d.turn(ctx, w, nil)
+		if err != nil {
 			return nil, problem.New(problem.NoCapacity, "the caller went away before the call was sent")
 		}
 		if grant.Problem != nil {
--- a/internal/entry/shards.go
+++ b/internal/entry/shards.go
@@ -106,10 +106,7 @@
 }
 
 // alive reports whether a daemon is known and reached.
-func (d *Daemon) alive(id string) bool {
-	_, ok := d.view.Load().daemon(id)
-	return ok
-}
+func (d *Daemon) alive(id string) bool { return d.view.Load().reached[id] }
 
 // daemon returns a known daemon.
 func (v *View) daemon(id string) (membership.Daemon, bool) {
--- a/internal/entry/sse.go
+++ b/internal/entry/sse.go
@@ -16,6 +16,7 @@
 // a problem is a plain answer; after it, it is an event of its own and the stream
 // ends without "[DONE]".
 func (d *Daemon) sendStream(w http.ResponseWriter, r *http.Request, a *answer, after int64) *problem.Problem {
+	defer a.attach()()
 	flush := http.NewResponseController(w)
 	begun := false
 	for {
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -22,6 +22,8 @@
 	Table     *routing.Table
 	// Daemons are all known daemons, this one included.
 	Daemons []membership.Daemon
+	// reached are the ids of the daemons whose links have not broken of late.
+	reached map[string]bool
 	// Entries are the daemons that callers of this place should use, in order.
 	Entries  []membership.Daemon
 	Draining bool
--- a/internal/membership/daemons.go
+++ b/internal/membership/daemons.go
@@ -208,6 +208,13 @@
 	})
 }
 
+// Reached tells whether a daemon is known and its links have not broken of late.
+func (s *Daemons) Reached(now time.Time, id string) bool {
+	s.init()
+	k, ok := s.known[id]
+	return ok && (id == s.Self.ID || k.broken.IsZero() || now.Sub(k.broken) >= brokenFor)
+}
+
 // Links returns the daemons to which this one keeps links.
 //
 // When all daemons know the same set, the links connect it: in each place one
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -300,9 +300,21 @@
 	// Organisation that they were served to.
 	Organisation string `json:"Organisation"`
 
+	// Rank of the work.
+	Rank string `json:"Rank,omitempty,omitzero"`
+
+	// Requests offered since the daemon started.
+	Requests uint64 `json:"Requests"`
+
 	// Rises with each change, so that an older count is ignored.
 	Sequence int64 `json:"Sequence"`
 
+	// Service that did the work.
+	Service string `json:"Service,omitempty,omitzero"`
+
 	// Tokens since the daemon started.
 	Tokens float64 `json:"Tokens"`
+
+	// Requests that wait.
+	Waiting int `json:"Waiting,omitempty,omitzero"`
 }
