--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -196,6 +196,21 @@
 	}
 }
 
+// TestDisplaceAfterAttempt guards against reporting a request as not run that
+// was in service.
+func TestDisplaceAfterAttempt(t *testing.T) {
+	q := &Queue{Ranks: testRanks, MaxQueued: 1}
+	q.Offer(start, request("ran", "a", "batch"))
+	next(t, q, start)
+	q.Return(start, Usage{ID: "ran"})
+	if d := q.Offer(start, request("u", "b", "urgent")); d.Kind != problem.Overloaded {
+		t.Errorf("got %+v", d)
+	}
+	if dropped := q.Dropped(start, nil); len(dropped) != 0 {
+		t.Errorf("dropped %+v", dropped)
+	}
+}
+
 // TestExpired guards against serving a request after its deadline, also
 // between two scans of the queue.
 func TestExpired(t *testing.T) {
