peer: add WebSocket links between daemons

Cause: daemons exchange digests, states and configuration, and forward and hand over requests; a failed call has to say whether the request may have started.

A message counts as not sent only while it waits in the queue, so a call fails with Started unset only when the receiver can't have it or refused it. Hello with version and token comes first, and the acceptor shows its token only to a peer that has it. Of two links to one peer both ends retire the same one. Only the daemon that dialed closes an idle link, and an accepted link close to the idle time takes no new call, so that no call meets a link that is closing.

Ruled out: a window for each call; the parts that wait for one reader are bounded by 8 MB instead and a slower reader's call fails, because a link must not wait for one caller.

--- /dev/null
+++ b/internal/peer/dial.go
@@ -0,0 +1,281 @@
+package peer
+
+import (
+	"context"
+	"crypto/subtle"
+	"net/http"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/coder/websocket"
+	"github.com/juju/errors"
+
+	"apricotbridge/internal/message"
+)
+
+// linkPath is the path on which links are accepted.
+const linkPath = "/v1/peer"
+
+// handshakeTimeout bounds the time until a peer has said Hello.
+const handshakeTimeout = 5 * time.Second
+
+// helloBytes bounds a message of a peer that has not shown the token.
+const helloBytes = 16 << 10
+
+// Bounds of the wait between attempts to open a kept link.
+const (
+	minBackoff = 100 * time.Millisecond
+	maxBackoff = 10 * time.Second
+)
+
+// Close codes of a refused link, from the range for private use.
+const (
+	closeVersion websocket.StatusCode = 4001
+	closeToken   websocket.StatusCode = 4002
+)
+
+// Reasons why a link is refused.
+const (
+	// ErrVersion reports a peer with another protocol version.
+	ErrVersion = errors.ConstError("peer has another protocol version")
+	// ErrToken reports a peer that does not have the shared token.
+	ErrToken = errors.ConstError("peer does not have the shared token")
+)
+
+// check compares the peer's Hello with that of this daemon.
+func (h *Hub) check(peer message.Hello) (websocket.StatusCode, error) {
+	switch {
+	case subtle.ConstantTimeCompare([]byte(peer.Token), []byte(h.Self.Token)) != 1:
+		return closeToken, ErrToken
+	case peer.Version != h.Self.Version:
+		return closeVersion, errors.Annotatef(ErrVersion, "%d", peer.Version)
+	case peer.Daemon == "" || peer.Daemon == h.Self.Daemon:
+		return websocket.StatusPolicyViolation, errors.Errorf("peer has the id %q", peer.Daemon)
+	}
+	return 0, nil
+}
+
+// readHello reads the first message of a peer and closes the link when it does not
+// match.
+func (h *Hub) readHello(ctx context.Context, conn *websocket.Conn) (message.Hello, error) {
+	conn.SetReadLimit(helloBytes)
+	var hello message.Hello
+	_, data, err := conn.Read(ctx)
+	if err != nil {
+		switch websocket.CloseStatus(err) {
+		case closeVersion:
+			return hello, errors.Annotate(ErrVersion, "refused by the peer")
+		case closeToken:
+			return hello, errors.Annotate(ErrToken, "refused by the peer")
+		}
+		return hello, errors.Annotate(err, "read Hello")
+	}
+	e, err := message.Open(data)
+	if err == nil && e.Kind != message.KindHello {
+		err = errors.Errorf("first message is %q", e.Kind)
+	}
+	if err == nil {
+		hello, err = message.Decode[message.Hello](e)
+	}
+	code := websocket.StatusInvalidFramePayloadData
+	if err == nil {
+		code, err = h.check(hello)
+	}
+	if err != nil {
+		_ = conn.Close(code, "link refused")
+		return hello, err
+	}
+	h.counters.count("received", message.KindHello, len(data))
+	conn.SetReadLimit(message.MaxBytes)
+	hello.Token = "" // Handlers and logs have no use for it.
+	return hello, nil
+}
+
+func (h *Hub) writeHello(ctx context.Context, conn *websocket.Conn) error {
+	data, err := message.Encode(message.KindHello, h.Self)
+	if err != nil {
+		return err
+	}
+	if err := conn.Write(ctx, websocket.MessageBinary, data); err != nil {
+		return errors.Annotate(err, "write Hello")
+	}
+	h.counters.count("sent", message.KindHello, len(data))
+	return nil
+}
+
+// accept serves a link that a peer opened. The peer says Hello first, so that the
+// token is shown only to a peer that has it.
+func (h *Hub) accept(w http.ResponseWriter, r *http.Request) {
+	if !h.track() {
+		http.Error(w, "daemon ends", http.StatusServiceUnavailable)
+		return
+	}
+	defer h.wg.Done()
+	conn, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		return // Accept has answered.
+	}
+	ctx, cancel := context.WithTimeout(h.ctx, handshakeTimeout)
+	defer cancel()
+	hello, err := h.readHello(ctx, conn)
+	if err == nil {
+		err = h.writeHello(ctx, conn)
+	}
+	if err != nil {
+		h.Log.Info("link refused", "remote", r.RemoteAddr, "peer", hello.Daemon, "error", err.Error())
+		_ = conn.CloseNow() // It is closed already unless the peer went away.
+		return
+	}
+	if l := h.newLink(conn, hello, ""); h.register(l) {
+		h.serveLink(l)
+	}
+}
+
+func (h *Hub) newLink(conn *websocket.Conn, peer message.Hello, address string) *link {
+	ctx, end := context.WithCancel(h.ctx)
+	return &link{
+		ctx: ctx, end: end,
+		hub: h, conn: conn, peer: peer, dialed: address != "", address: address,
+		queue:   newQueue(func(k message.Kind) { h.counters.count("dropped", k, 0) }),
+		done:    make(chan struct{}),
+		lastUse: time.Now(),
+		calls:   map[uint64]*call{}, serving: map[uint64]context.CancelFunc{},
+	}
+}
+
+// serveLink runs a registered link until it ends.
+func (h *Hub) serveLink(l *link) {
+	h.Log.V(1).Info("link opened", "peer", l.peer.Daemon, "dialed", l.dialed)
+	l.run()
+	h.unregister(l)
+	close(l.done)
+}
+
+// linkTo returns a link to an address and opens one when there is none. An
+// accepted link that is close to the idle time is not used, because the peer may
+// close it at the same moment.
+func (h *Hub) linkTo(ctx context.Context, address string) (*link, error) {
+	for {
+		l := h.lookup(func(l *link) bool {
+			return l.leadsTo(address) && (l.dialed || l.idle(time.Now()) < h.Idle*3/4)
+		})
+		if l != nil {
+			return l, nil
+		}
+		h.mu.Lock()
+		wait, busy := h.dialing[address]
+		if !busy {
+			wait = make(chan struct{})
+			h.dialing[address] = wait
+		}
+		h.mu.Unlock()
+		if !busy {
+			l, err := h.dial(ctx, address)
+			h.mu.Lock()
+			delete(h.dialing, address)
+			h.mu.Unlock()
+			close(wait)
+			return l, err
+		}
+		select {
+		case <-wait:
+		case <-ctx.Done():
+			return nil, context.Cause(ctx)
+		}
+	}
+}
+
+// dial opens a link, which lives until it ends or the hub does.
+func (h *Hub) dial(ctx context.Context, address string) (*link, error) {
+	if !h.track() {
+		return nil, errors.New("hub is closed")
+	}
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	defer context.AfterFunc(h.ctx, cancel)()
+	conn, _, err := websocket.Dial(ctx, "ws://"+address+linkPath, &websocket.DialOptions{HTTPClient: h.client}) //nolint:bodyclose // Dial closes it.
+	if err != nil {
+		h.wg.Done()
+		return nil, errors.Annotatef(err, "open link to %s", address)
+	}
+	var hello message.Hello
+	if err = h.writeHello(ctx, conn); err == nil {
+		hello, err = h.readHello(ctx, conn)
+	}
+	if err != nil {
+		_ = conn.CloseNow() // It is closed already unless the peer went away.
+		h.wg.Done()
+		return nil, errors.Annotatef(err, "open link to %s", address)
+	}
+	l := h.newLink(conn, hello, address)
+	if !h.register(l) {
+		h.wg.Done()
+		return nil, errors.New("hub is closed")
+	}
+	go func() {
+		defer h.wg.Done()
+		h.serveLink(l)
+	}()
+	return l, nil
+}
+
+// Keep replaces the peers to which links are kept open. A link to a peer that is
+// no longer among them ends when it is idle.
+func (h *Hub) Keep(targets []Target) {
+	h.init()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	wanted := map[Target]bool{}
+	for _, t := range targets {
+		wanted[t] = true
+		if h.kept[t] != nil || h.closed || t.Address == h.Self.PeerAddress {
+			continue
+		}
+		ctx, cancel := context.WithCancel(h.ctx)
+		h.kept[t] = cancel
+		h.wg.Go(func() {
+			defer cancel()
+			h.keep(ctx, t)
+		})
+	}
+	for t, cancel := range h.kept {
+		if !wanted[t] {
+			cancel()
+			delete(h.kept, t)
+		}
+	}
+}
+
+// keep holds a link to a target until the context ends.
+func (h *Hub) keep(ctx context.Context, t Target) {
+	policy := backoff.NewExponentialBackOff()
+	// Jitter takes up to half of the interval away or adds it.
+	policy.InitialInterval, policy.MaxInterval = 2*minBackoff, maxBackoff
+	for ctx.Err() == nil {
+		l := h.lookup(func(l *link) bool { return l.leadsTo(t.Address) })
+		if l == nil {
+			var err error
+			if l, err = h.dial(ctx, t.Address); err != nil && ctx.Err() == nil {
+				h.Log.V(1).Info("link not opened", "peer", t.ID, "address", t.Address, "error", err.Error())
+				if h.Unreachable != nil {
+					h.Unreachable(t, err)
+				}
+			}
+		}
+		if l != nil {
+			opened := time.Now()
+			select {
+			case <-l.done:
+			case <-ctx.Done():
+				return
+			}
+			if time.Since(opened) > maxBackoff {
+				policy.Reset()
+			}
+		}
+		select {
+		case <-time.After(min(policy.NextBackOff(), maxBackoff)):
+		case <-ctx.Done():
+		}
+	}
+}
--- /dev/null
+++ b/internal/peer/link.go
@@ -0,0 +1,302 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/juju/errors"
+
+	"apricotbridge/internal/message"
+)
+
+// Times of a link.
+const (
+	// pingInterval and pingTimeout find a dead peer within 10 s, well within the
+	// lease of 30 s under which it is registered.
+	pingInterval = 5 * time.Second
+	pingTimeout  = 5 * time.Second
+	// writeTimeout closes the link to a peer that does not read. It exceeds the
+	// time that 16 MB in the queue need on a link of 30 Mbit/s.
+	writeTimeout = 10 * time.Second
+	// retiredFor is how long a duplicate link stays open, so that calls which the
+	// peer started before it knew of the other link finish.
+	retiredFor = 5 * time.Second
+)
+
+// maxServing bounds the calls of one peer that run at a time.
+const maxServing = 1024
+
+// link is an open connection to a peer.
+type link struct {
+	hub     *Hub
+	conn    *websocket.Conn
+	peer    message.Hello
+	dialed  bool
+	address string // As dialed; empty on an accepted link.
+	queue   *queue
+	done    chan struct{}
+	ctx     context.Context
+	end     context.CancelFunc
+
+	mu      sync.Mutex
+	closed  bool
+	retired bool
+	lastUse time.Time
+	number  uint64
+	calls   map[uint64]*call
+	serving map[uint64]context.CancelFunc
+}
+
+// run reads the link until it ends, and waits for everything that it started.
+func (l *link) run() {
+	ctx, cancel := l.ctx, l.end
+	defer cancel()
+	var wg sync.WaitGroup
+	wg.Go(func() { defer cancel(); l.write(ctx) })
+	wg.Go(func() { defer cancel(); l.ping(ctx) })
+	err := l.read(ctx, &wg)
+	cancel()
+	l.queue.close()
+	l.mu.Lock()
+	l.closed = true
+	calls := make([]*call, 0, len(l.calls))
+	for _, c := range l.calls {
+		calls = append(calls, c)
+	}
+	l.mu.Unlock()
+	for _, c := range calls {
+		c.fail(errors.Annotatef(ErrLinkBroken, "to %s: %v", l.peer.Daemon, err))
+	}
+	_ = l.conn.CloseNow() // It is closed already when the peer or the reader closed it.
+	wg.Wait()
+	l.hub.Log.V(1).Info("link ended", "peer", l.peer.Daemon, "reason", err.Error())
+}
+
+func (l *link) write(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.queue.ready:
+		}
+		for {
+			it, ok := l.queue.pop()
+			if !ok {
+				break
+			}
+			timed, cancel := context.WithTimeout(ctx, writeTimeout)
+			err := l.conn.Write(timed, websocket.MessageBinary, it.data)
+			cancel()
+			if err != nil {
+				return
+			}
+			l.hub.counters.count("sent", it.kind, len(it.data))
+		}
+	}
+}
+
+func (l *link) ping(ctx context.Context) {
+	ticker := time.NewTicker(pingInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		timed, cancel := context.WithTimeout(ctx, pingTimeout)
+		err := l.conn.Ping(timed)
+		cancel()
+		if err != nil {
+			return
+		}
+	}
+}
+
+// read handles messages until the link ends. A message that can't be decoded ends
+// it, because the peer's state is unknown from then on.
+func (l *link) read(ctx context.Context, wg *sync.WaitGroup) error {
+	for {
+		kind, data, err := l.conn.Read(ctx)
+		if err != nil {
+			return err
+		}
+		e, err := message.Open(data)
+		if err == nil && kind != websocket.MessageBinary {
+			err = errors.New("message is not binary")
+		}
+		if err == nil {
+			l.hub.counters.count("received", e.Kind, len(data))
+			l.touch()
+			err = l.handle(ctx, wg, e)
+		}
+		if err != nil {
+			l.hub.Log.Info("malformed message", "peer", l.peer.Daemon, "error", err.Error())
+			_ = l.conn.Close(websocket.StatusInvalidFramePayloadData, "malformed message")
+			return err
+		}
+	}
+}
+
+func (l *link) handle(ctx context.Context, wg *sync.WaitGroup, e message.Envelope) error {
+	switch e.Kind {
+	case message.KindForward:
+		f, err := message.Decode[message.Forward](e)
+		if err != nil {
+			return err
+		}
+		l.serve(ctx, wg, f.Call, &responder{link: l, call: f.Call}, func(ctx context.Context, w *responder) {
+			if f.Hops > 1 {
+				w.Fail(false, "request was forwarded already")
+				return
+			}
+			l.hub.Handler.ServeForward(ctx, f, w)
+		})
+	case message.KindHandover:
+		h, err := message.Decode[message.Handover](e)
+		if err != nil {
+			return err
+		}
+		l.serve(ctx, wg, h.Call, &responder{link: l, call: h.Call, handover: true}, func(ctx context.Context, w *responder) {
+			if err := l.hub.Handler.ServeHandover(ctx, h); err != nil {
+				w.Fail(false, err.Error())
+			}
+		})
+	case message.KindForwardAnswer:
+		a, err := message.Decode[message.ForwardAnswer](e)
+		if err != nil {
+			return err
+		}
+		if c := l.find(a.Call); c != nil {
+			c.part(a)
+		} else if !a.Last && !a.Failed {
+			// The cancel of this call may have found the queue full.
+			l.cancelCall(a.Call)
+		}
+	case message.KindHandoverAccepted:
+		a, err := message.Decode[message.HandoverAccepted](e)
+		if err != nil {
+			return err
+		}
+		if c := l.find(a.Call); c != nil {
+			c.answer(a)
+		}
+	case message.KindCancel:
+		c, err := message.Decode[message.Cancel](e)
+		if err != nil {
+			return err
+		}
+		l.mu.Lock()
+		if cancel := l.serving[c.Call]; cancel != nil {
+			cancel()
+		}
+		l.mu.Unlock()
+	default:
+		if l.hub.Handle != nil {
+			l.hub.Handle(l.peer, e)
+		}
+	}
+	return nil
+}
+
+// serve runs a call of the peer.
+func (l *link) serve(ctx context.Context, wg *sync.WaitGroup, number uint64, w *responder, do func(context.Context, *responder)) {
+	ctx, cancel := context.WithCancel(ctx)
+	w.ctx = ctx
+	l.mu.Lock()
+	full := len(l.serving) >= maxServing || l.serving[number] != nil || l.hub.Handler == nil
+	if !full {
+		l.serving[number] = cancel
+	}
+	l.mu.Unlock()
+	wg.Go(func() {
+		defer cancel()
+		if full {
+			w.Fail(false, "daemon takes no call now")
+			return
+		}
+		defer func() {
+			if p := recover(); p != nil {
+				l.hub.Log.Info("handler of a call panicked", "peer", l.peer.Daemon, "panic", p)
+				w.Fail(true, "internal fault")
+			}
+			w.end()
+			l.mu.Lock()
+			delete(l.serving, number)
+			l.lastUse = time.Now()
+			l.mu.Unlock()
+		}()
+		do(ctx, w)
+	})
+}
+
+// start begins a call of this daemon. An error means that nothing was sent.
+func (l *link) start(kind message.Kind, encode func(number uint64) ([]byte, error)) (*call, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return nil, errLinkClosed
+	}
+	l.number++
+	data, err := encode(l.number)
+	if err != nil {
+		return nil, err
+	}
+	if len(data) > message.MaxBytes {
+		return nil, errors.Errorf("%s has %d bytes, the limit is %d", kind, len(data), message.MaxBytes)
+	}
+	c := &call{number: l.number, link: l, sent: &item{kind: kind, data: data}, arrived: make(chan struct{}, 1)}
+	if err := l.queue.push(c.sent); err != nil {
+		return nil, err
+	}
+	l.calls[c.number] = c
+	l.lastUse = time.Now()
+	return c, nil
+}
+
+func (l *link) find(number uint64) *call {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.calls[number]
+}
+
+func (l *link) forget(number uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.calls, number)
+	l.lastUse = time.Now()
+}
+
+// cancelCall tells the peer that a call is over for this daemon. When the queue
+// is full the next part of the call leads to another cancel.
+func (l *link) cancelCall(number uint64) {
+	if data, err := message.Encode(message.KindCancel, message.Cancel{Call: number}); err == nil {
+		_ = l.queue.push(&item{kind: message.KindCancel, data: data})
+	}
+}
+
+func (l *link) touch() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lastUse = time.Now()
+}
+
+// idle returns how long the link had no message and no call.
+func (l *link) idle(now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.calls)+len(l.serving) > 0 {
+		return 0
+	}
+	return now.Sub(l.lastUse)
+}
+
+// initiator returns the id of the daemon that dialed.
+func (l *link) initiator() string {
+	if l.dialed {
+		return l.hub.Self.Daemon
+	}
+	return l.peer.Daemon
+}
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,378 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/coder/websocket"
+	"go.uber.org/goleak"
+
+	"apricotbridge/internal/message"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// handler serves calls with functions that a test sets.
+type handler struct {
+	forward  func(context.Context, message.Forward, ResponseWriter)
+	handover func(message.Handover) error
+}
+
+func (h handler) ServeForward(ctx context.Context, f message.Forward, w ResponseWriter) {
+	h.forward(ctx, f, w)
+}
+
+func (h handler) ServeHandover(_ context.Context, m message.Handover) error { return h.handover(m) }
+
+// start runs a hub on loopback and ends it with the test.
+func start(t *testing.T, id string, change func(*Hub)) *Hub {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &Hub{Listener: listener, Self: message.Hello{Daemon: id, PeerAddress: listener.Addr().String(), Token: "secret"}}
+	if change != nil {
+		change(h)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- h.Run(context.Background()) }()
+	t.Cleanup(func() {
+		h.Close()
+		if err := <-ended; err != nil {
+			t.Errorf("hub %s: %v", id, err)
+		}
+	})
+	return h
+}
+
+func serving(f func(context.Context, message.Forward, ResponseWriter)) func(*Hub) {
+	return func(h *Hub) { h.Handler = handler{forward: f} }
+}
+
+func testContext(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func body(r *Response) (string, error) {
+	var all bytes.Buffer
+	for {
+		part, err := r.Next()
+		if errors.Is(err, io.EOF) {
+			return all.String(), nil
+		}
+		if err != nil {
+			return all.String(), err
+		}
+		all.Write(part)
+	}
+}
+
+// breakLinks cuts the connections without a closing handshake.
+func breakLinks(h *Hub) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for l := range h.links {
+		_ = l.conn.CloseNow()
+	}
+}
+
+// started returns what a failed call says of the request.
+func started(t *testing.T, err error) bool {
+	t.Helper()
+	var c *CallError
+	if !errors.As(err, &c) {
+		t.Fatalf("error %v is not a CallError", err)
+	}
+	return c.Started
+}
+
+// Guards against responses that are mixed up between calls of one link, lose
+// parts or do not end, and against a second forward.
+func TestForward(t *testing.T) {
+	b := start(t, "b", serving(func(_ context.Context, f message.Forward, w ResponseWriter) {
+		w.WriteHeader(201, []message.Header{{Name: "X", Value: f.RequestID}})
+		for i := range 50 {
+			_, _ = fmt.Fprintf(w, "%s.%d ", f.Body, i)
+		}
+		_, _ = w.Write(bytes.Repeat([]byte("x"), 3*maxPartBytes))
+	}))
+	a := start(t, "a", nil)
+	var wg sync.WaitGroup
+	for n := range 20 {
+		wg.Go(func() {
+			id := fmt.Sprint("r", n)
+			r, err := a.Forward(testContext(t), b.Self.PeerAddress, message.Forward{RequestID: id, Body: []byte(id)})
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			got, err := body(r)
+			if err != nil || r.Status != 201 || r.Headers[0].Value != id ||
+				strings.Count(got, id+".") != 50 || len(got) < 3*maxPartBytes {
+				t.Errorf("call %d: status %d, %d bytes, error %v", n, r.Status, len(got), err)
+			}
+		})
+	}
+	wg.Wait()
+	if n := len(a.Peers()); n != 1 {
+		t.Errorf("%d peers", n)
+	}
+	_, err := a.Forward(testContext(t), b.Self.PeerAddress, message.Forward{Hops: 1})
+	if !errors.Is(err, ErrRefused) || started(t, err) {
+		t.Errorf("second forward: %v", err)
+	}
+}
+
+// Guards against a truncated response that passes for a complete one, and a
+// request reported as not started that was, when a link is cut.
+func TestLinkCut(t *testing.T) {
+	cut := make(chan struct{})
+	b := start(t, "b", serving(func(ctx context.Context, _ message.Forward, w ResponseWriter) {
+		_, _ = w.Write([]byte("half"))
+		<-cut
+		<-ctx.Done()
+	}))
+	a := start(t, "a", nil)
+	r, err := a.Forward(testContext(t), b.Self.PeerAddress, message.Forward{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if part, err := r.Next(); string(part) != "half" || err != nil {
+		t.Fatalf("got %q, %v", part, err)
+	}
+	breakLinks(a)
+	close(cut)
+	if _, err = r.Next(); !errors.Is(err, ErrLinkBroken) || !started(t, err) {
+		t.Errorf("after the cut: %v", err)
+	}
+	if _, err = a.Forward(testContext(t), "127.0.0.1:1", message.Forward{}); started(t, err) {
+		t.Errorf("no peer: %v", err)
+	}
+}
+
+// Guards against work that goes on for a caller that left, and a handler's
+// failure that looks like a complete response.
+func TestCancelAndFail(t *testing.T) {
+	cancelled := make(chan struct{})
+	b := start(t, "b", serving(func(ctx context.Context, f message.Forward, w ResponseWriter) {
+		switch f.Path {
+		case "/refuse":
+			w.Fail(false, "no")
+		case "/panic":
+			panic("fault")
+		case "/cut":
+			_, _ = w.Write([]byte("x"))
+			w.Fail(true, "engine failed")
+		default:
+			_, _ = w.Write([]byte("x"))
+			<-ctx.Done()
+			close(cancelled)
+		}
+	}))
+	a := start(t, "a", nil)
+	for path, want := range map[string]bool{"/refuse": false, "/panic": true, "/cut": true} {
+		r, err := a.Forward(testContext(t), b.Self.PeerAddress, message.Forward{Path: path})
+		if err == nil {
+			_, err = body(r)
+		}
+		if err == nil || started(t, err) != want {
+			t.Errorf("%s: %v", path, err)
+		}
+	}
+	r, err := a.Forward(testContext(t), b.Self.PeerAddress, message.Forward{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Close()
+	<-cancelled
+}
+
+// Guards against a slow reader of one response that holds up the other calls of
+// the link, and a handler that takes memory without bound for it.
+func TestSlowReader(t *testing.T) {
+	b := start(t, "b", serving(func(_ context.Context, f message.Forward, w ResponseWriter) {
+		for err := error(nil); err == nil && f.Path == "/large"; {
+			_, err = w.Write(make([]byte, maxPartBytes))
+		}
+	}))
+	a := start(t, "a", nil)
+	slow, err := a.Forward(testContext(t), b.Self.PeerAddress, message.Forward{Path: "/large"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err = a.Forward(testContext(t), b.Self.PeerAddress, message.Forward{}); err != nil {
+		t.Errorf("other call: %v", err)
+	}
+	for err == nil {
+		_, err = slow.Next()
+		time.Sleep(10 * time.Millisecond)
+	}
+	if !errors.Is(err, ErrSlowReader) || !started(t, err) {
+		t.Errorf("slow reader: %v", err)
+	}
+}
+
+// Guards against a full queue that loses anything but the oldest digest, and a
+// request that is refused as not started but sent.
+func TestQueueFull(t *testing.T) {
+	var dropped []message.Kind
+	q := newQueue(func(k message.Kind) { dropped = append(dropped, k) })
+	for i := range maxQueued {
+		kind := message.KindForwardAnswer
+		if i == 3 || i == 9 {
+			kind = message.KindDigest
+		}
+		if err := q.push(&item{kind: kind, data: []byte{byte(i)}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	forward := &item{kind: message.KindForward}
+	for i, want := range []error{nil, nil, ErrQueueFull} {
+		if err := q.push(forward); !errors.Is(err, want) {
+			t.Errorf("push %d over the bound: %v", i, err)
+		}
+	}
+	if len(dropped) != 2 || dropped[0] != message.KindDigest || q.items[3].data[0] != 4 {
+		t.Errorf("dropped %v", dropped)
+	}
+	if !q.withdraw(forward) {
+		t.Error("a message that waits counts as sent")
+	}
+	it, _ := q.pop()
+	if q.withdraw(it) {
+		t.Error("a message on its way counts as not sent")
+	}
+}
+
+// Guards against a link with a daemon of another version or without the token,
+// and against a token that is shown to such a daemon.
+func TestRefusedLinks(t *testing.T) {
+	b := start(t, "b", nil)
+	wrong := start(t, "a", func(h *Hub) { h.Self.Token = "guess" })
+	_, err := wrong.Forward(testContext(t), b.Self.PeerAddress, message.Forward{})
+	if !errors.Is(err, ErrToken) || started(t, err) {
+		t.Errorf("wrong token: %v", err)
+	}
+	old := start(t, "c", nil)
+	old.init()
+	old.Self.Version = message.Version + 1
+	if _, err = old.Forward(testContext(t), b.Self.PeerAddress, message.Forward{}); !errors.Is(err, ErrVersion) || started(t, err) {
+		t.Errorf("wrong version: %v", err)
+	}
+	if n := len(b.Peers()); n != 0 {
+		t.Errorf("%d links with refused daemons", n)
+	}
+}
+
+// Guards against malformed bytes that end the daemon or leave the link open.
+func TestMalformedBytes(t *testing.T) {
+	b := start(t, "b", nil)
+	hello, err := message.Encode(message.KindHello, message.Hello{Version: message.Version, Daemon: "x", Token: "secret"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	badBody, _ := message.Encode(message.KindForward, message.Hello{Version: 1})
+	badBody[len(badBody)-1] ^= 0xff
+	for name, frames := range map[string][][]byte{
+		"first":  {{0x9b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff}},
+		"second": {hello, {0xff, 0x00}},
+		"body":   {hello, badBody},
+	} {
+		conn, _, err := websocket.Dial(testContext(t), "ws://"+b.Self.PeerAddress+linkPath, nil) //nolint:bodyclose // Dial closes it.
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, f := range frames {
+			if err := conn.Write(testContext(t), websocket.MessageBinary, f); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for err == nil {
+			_, _, err = conn.Read(testContext(t))
+		}
+		if got := websocket.CloseStatus(err); got != websocket.StatusInvalidFramePayloadData {
+			t.Errorf("%s: link ended with %v", name, err)
+		}
+		_ = conn.CloseNow()
+	}
+}
+
+// Guards against a gap in the parts of a response that goes unseen.
+func TestGap(t *testing.T) {
+	b := start(t, "b", serving(func(_ context.Context, _ message.Forward, w ResponseWriter) {
+		_, _ = w.Write([]byte("x"))
+		w.(*responder).part++
+		_, _ = w.Write([]byte("z"))
+	}))
+	a := start(t, "a", nil)
+	r, err := a.Forward(testContext(t), b.Self.PeerAddress, message.Forward{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := body(r); got != "x" || !errors.Is(err, ErrGap) || !started(t, err) {
+		t.Errorf("got %q, %v", got, err)
+	}
+}
+
+// Guards against a kept link that is not opened again, two links where both
+// daemons dial, and an on-demand link that stays.
+func TestKeepAndIdle(t *testing.T) {
+	messages := make(chan string, 100)
+	change := func(h *Hub) {
+		h.Idle = 100 * time.Millisecond
+		h.Handler = handler{handover: func(m message.Handover) error {
+			if m.Rank == "" {
+				return errors.New("no room")
+			}
+			return nil
+		}}
+		h.Handle = func(from message.Hello, e message.Envelope) { messages <- from.Daemon + " " + string(e.Kind) }
+	}
+	a, b := start(t, "a", change), start(t, "b", change)
+	a.Keep([]Target{{ID: "b", Address: b.Self.PeerAddress}})
+	b.Keep([]Target{{ID: "a", Address: a.Self.PeerAddress}})
+	exchange := func() {
+		for Send(b, "a", message.KindDigest, message.Digest{Revision: 1}) != nil {
+			time.Sleep(5 * time.Millisecond)
+		}
+		if got := <-messages; got != "b Digest" {
+			t.Errorf("got %q", got)
+		}
+	}
+	links := func(h *Hub) int {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return len(h.links)
+	}
+	exchange()
+	for links(a) != 1 || links(b) != 1 {
+		time.Sleep(5 * time.Millisecond)
+	}
+	breakLinks(a)
+	for links(b) != 0 {
+		time.Sleep(time.Millisecond)
+	}
+	exchange()
+	a.Keep(nil)
+	b.Keep(nil)
+	for links(a) != 0 || links(b) != 0 {
+		time.Sleep(5 * time.Millisecond)
+	}
+	if err := a.Handover(testContext(t), b.Self.PeerAddress, message.Handover{Rank: "urgent"}); err != nil {
+		t.Error(err)
+	}
+	if err := a.Handover(testContext(t), b.Self.PeerAddress, message.Handover{}); !errors.Is(err, ErrRefused) || started(t, err) {
+		t.Errorf("refused hand-over: %v", err)
+	}
+}
