--- a/internal/demo/handover_test.go
+++ b/internal/demo/handover_test.go
@@ -35,6 +35,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	defer res.Body.Close()
 	rest, whole := readStream(t, res, nil)
 	if want := completion("a long dossier", tokens); !whole || text+rest != want {
 		t.Errorf("complete: %v, text of %d and %d bytes, want %d", whole, len(text), len(rest), len(want))
--- a/internal/demo/platform_test.go
+++ b/internal/demo/platform_test.go
@@ -151,6 +151,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	defer res.Body.Close()
 	text, whole := readStream(t, res, func(n int) {
 		if n == 20 {
 			for _, id := range []string{"engine-0", "engine-1"} {
