--- a/internal/bench/admission_measure.go
+++ b/internal/bench/admission_measure.go
@@ -20,6 +20,7 @@
 	// more urgent rank of their own.
 	policySmallFirst = "SmallStrictlyFirst"
 	policyAlone      = "QueueWithoutLarge"
+	policyReturn     = "QueuePeersReturn"
 	policyPreempt    = "QueueWithPreemption"
 	admissionBound   = 4000 // waiting requests at one daemon, also of the baselines
 )
@@ -178,7 +179,7 @@
 func ofPolicy(policy string, figures []Figure) []Figure {
 	for i := range figures {
 		figures[i].Policy = policy
-		if policy != policyQueue && policy != policyPreempt {
+		if policy != policyQueue && policy != policyPreempt && policy != policyReturn {
 			figures[i].Bound, figures[i].Side = nil, ""
 		}
 	}
@@ -342,14 +343,17 @@
 	var figures []Figure
 	for _, p := range []struct {
 		name     string
+		warm     time.Duration
 		exchange func(time.Duration) bool
 	}{
-		{policyQueue, func(time.Duration) bool { return true }},
-		{policySilent, func(at time.Duration) bool { return at < 20*time.Second }},
-		{policyDaemon, nil},
+		{policyQueue, 30 * time.Second, func(time.Duration) bool { return true }},
+		{policySilent, 30 * time.Second, func(at time.Duration) bool { return at < 20*time.Second }},
+		// Shares are measured from 20 s after the end of the silence.
+		{policyReturn, 110 * time.Second, func(at time.Duration) bool { return at < 20*time.Second || at >= 90*time.Second }},
+		{policyDaemon, 30 * time.Second, nil},
 	} {
 		r := &admissionRun{
-			seed: seed, length: 3 * time.Minute, warm: 30 * time.Second, engines: admissionEngines, model: usualEngine,
+			seed: seed, length: 3 * time.Minute, warm: p.warm, engines: admissionEngines, model: usualEngine,
 			policy: queuePolicy(seed), daemons: 8, trace: trace(seed, 3*time.Minute, streams), exchange: p.exchange,
 		}
 		out := r.run()
