entry: perform the placement duty of a region

Cause: nothing started or stopped instances.

Found by the test: demand that is refused for want of a server was not counted, so that a fleet of none stayed at none. Offers now count before the refusal, in estimated tokens of work.

--- a/internal/admission/flow.go
+++ b/internal/admission/flow.go
@@ -59,7 +59,10 @@
 	charged  float64
 	reported float64
 	offered  uint64
-	waited   mean
+	// offeredWork is the estimated work of all offered requests, refused ones
+	// included.
+	offeredWork float64
+	waited      mean
 }
 
 // flowHeap orders flows with waiting requests by their tag.
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -280,6 +280,7 @@
 	cost := p.cost(q, ri, r)
 	f := p.flow(q, ri, oi)
 	f.offered++
+	f.offeredWork += cost
 	wait := p.wait(q, now, ri, oi)
 	deadline := r.Deadline
 	if deadline.IsZero() && q.Ranks[ri].Deadline > 0 {
--- a/internal/admission/usage.go
+++ b/internal/admission/usage.go
@@ -20,8 +20,9 @@
 	Sequence int64
 	// Tokens of work served.
 	Tokens float64
-	// Requests offered.
+	// Requests offered, and the estimated tokens of their work.
 	Requests uint64
+	Offered  float64
 	// Age of the report.
 	Age time.Duration
 }
@@ -48,6 +49,7 @@
 				buf = append(buf, PeerUsage{
 					Daemon: q.Daemon, Organisation: q.orgs[f.org].Name, Rank: q.Ranks[r].Name,
 					Service: p.service, Sequence: now.UnixNano(), Tokens: f.reported, Requests: f.offered,
+					Offered: f.offeredWork,
 				})
 			}
 		}
--- /dev/null
+++ b/internal/demo/placement_test.go
@@ -0,0 +1,98 @@
+package demo
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr/testr"
+
+	"apricotbridge/internal/cloud"
+	"apricotbridge/internal/lease"
+	"apricotbridge/internal/settings"
+	"apricotbridge/internal/standin"
+	"apricotbridge/samples"
+)
+
+// Guards against a fleet that is never started: with no backend server, demand
+// that is refused makes the holder of the placement duty start some, and when it
+// drains, another daemon takes the duty over with a higher fencing number.
+func TestPlacementStartsServersForDemand(t *testing.T) {
+	p, err := NewPlatform(t.Context(), testr.New(t), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		p.Close()
+		http.DefaultClient.CloseIdleConnections()
+	})
+	if err := p.Apply(t.Context(), samples.Shrestha); err != nil {
+		t.Fatal(err)
+	}
+	var mu sync.Mutex
+	booted := 0
+	api := standin.NewCloud(1, []cloud.Price{{Place: "asan", Class: "accelerator-8", Reclaimable: 1, OnDemand: 3}}, map[string]string{"asan": "bagmati"})
+	api.List, api.StartDelay = p.Instances, 100*time.Millisecond
+	api.Boot = func(i cloud.Instance) string {
+		mu.Lock()
+		defer mu.Unlock()
+		booted++
+		id := fmt.Sprintf("booted-%d", booted)
+		e := &standin.Engine{Slots: 32, TokenTime: 5 * time.Millisecond, CacheTokens: 1 << 16, ChecksFencing: true}
+		if _, err := p.serve(id, e.Handler()); err != nil {
+			t.Errorf("boot %s: %v", i.ID, err)
+		}
+		return p.Address(id)
+	}
+	if _, err := p.serve("cloud", api.Handler()); err != nil {
+		t.Fatal(err)
+	}
+	p.Configure = func(s *settings.Settings) { s.Cloud = &settings.Remote{Address: "http://" + p.Address("cloud")} }
+	for i := range 2 {
+		if _, err := p.StartDaemon(fmt.Sprintf("daemon-%d", i), "asan", "bagmati"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	deadline := time.Now().Add(90 * time.Second)
+	served := false
+	for !served && time.Now().Before(deadline) {
+		for _, address := range p.Entries() {
+			res, err := send(t.Context(), address, "POST", "/v1/completions", `{"model":"sahayak-llm","prompt":"x","max_tokens":200}`, nil)
+			if err != nil {
+				continue
+			}
+			_ = res.Body.Close()
+			served = served || res.StatusCode == http.StatusOK
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	if !served {
+		t.Fatal("no backend server was started for the demand")
+	}
+	before := holder(t, p)
+	p.daemons[before.Holder].daemon.Drain(t.Context(), time.Time{})
+	for time.Now().Before(deadline) {
+		if after := holder(t, p); after.Holder != "" && after.Holder != before.Holder && after.Fence > before.Fence {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	t.Fatalf("placement duty was not taken over from %+v", before)
+}
+
+// holder returns who has the placement duty.
+func holder(t *testing.T, p *Platform) lease.Value {
+	t.Helper()
+	e, err := p.KeyValue.Get(t.Context(), lease.Key("placement/bagmati"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var v lease.Value
+	if err := json.Unmarshal(e.Value, &v); err != nil {
+		t.Fatal(err)
+	}
+	return v
+}
--- a/internal/demo/platform.go
+++ b/internal/demo/platform.go
@@ -28,6 +28,8 @@
 	Log       logr.Logger
 	// Seed makes the daemons' tie breaks repeatable.
 	Seed uint64
+	// Configure changes the settings of a daemon before its start; nil means none.
+	Configure func(s *settings.Settings)
 
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -208,6 +210,9 @@
 		KeyValue:     settings.Remote{Address: "http://" + p.Address("key-value")},
 		InstanceList: settings.Remote{Address: "http://" + p.Address("instances")},
 	}
+	if p.Configure != nil {
+		p.Configure(s)
+	}
 	d := entry.New(s, p.Log)
 	d.Seed = p.Seed
 	ctx, cancel := context.WithCancel(p.ctx)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -116,11 +116,13 @@
 		d.counts.Refused++
 		return problem.New(problem.Poisonous, "the same request has crashed backend servers")
 	}
-	if !w.Durable && !d.anyServer(w.Request.Service) {
+	decision := d.Queue.Offer(now, w.Request)
+	if decision.Queued && !w.Durable && !d.anyServer(w.Request.Service) {
+		// The offer counts as demand, for which placement starts servers.
+		d.Queue.Cancel(now, w.Request.ID)
 		d.counts.Refused++
 		return d.noServer(w.Request.Service)
 	}
-	decision := d.Queue.Offer(now, w.Request)
 	if !decision.Queued {
 		d.counts.Refused++
 		p := problem.New(decision.Kind, "%s", decision.Reason)
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/juju/errors"
 
 	"apricotbridge/internal/admission"
+	"apricotbridge/internal/cloud"
 	"apricotbridge/internal/dispatch"
 	"apricotbridge/internal/engine"
 	"apricotbridge/internal/instances"
@@ -54,6 +55,7 @@
 	Load(ctx context.Context, address string) (engine.Load, error)
 	Export(ctx context.Context, address, stream string) ([]byte, error)
 	Import(ctx context.Context, address, stream string, cache []byte) error
+	Command(ctx context.Context, address string, command engine.Command) error
 }
 
 // plainService passes calls to plain services.
@@ -84,6 +86,9 @@
 	// each order has a connection of its own.
 	Service plainService
 	Order   plainService
+	// Cloud is the cloud API; nil means that this daemon takes no placement duty and
+	// learns of reclaims from the instance list alone.
+	Cloud cloudAPI
 	// Seed makes jitter and tie breaks repeatable; 0 takes a random one.
 	Seed uint64
 
@@ -104,6 +109,7 @@
 	handler   http.Handler
 	orders    orders
 	transfers transfers
+	notices   noticeBoard
 	metrics   *telemetry
 	drainOnce sync.Once
 }
@@ -116,7 +122,7 @@
 // New returns a daemon with its clients made from the settings.
 func New(s *settings.Settings, log logr.Logger) *Daemon {
 	order := service.NewHTTPClient(true)
-	return &Daemon{
+	d := &Daemon{
 		Settings:  s,
 		Log:       log.WithValues("Daemon", s.Daemon, "Place", s.Place),
 		KeyValue:  &keyvalue.Client{Address: s.KeyValue.Address, Timeout: s.KeyValue.Timeout.Or(defaultCallTimeout)},
@@ -131,6 +137,10 @@
 		drained:   make(chan struct{}),
 		metrics:   newTelemetry(),
 	}
+	if s.Cloud != nil {
+		d.Cloud = &cloud.Client{Address: s.Cloud.Address, Timeout: s.Cloud.Timeout.Or(defaultCallTimeout)}
+	}
+	return d
 }
 
 // Ready is closed when the daemon listens.
@@ -180,6 +190,8 @@
 	t.start("registration", d.register)
 	t.start("engine polls", d.pollEngines)
 	t.start("ledger", d.runLedger)
+	t.start("placement", d.runPlacement)
+	t.start("notices", d.followNotices)
 	t.start("peers", d.hub.Run)
 	t.start("callers", func(ctx context.Context) error { return serveHTTP(ctx, server, callers) })
 	t.start("operators", func(ctx context.Context) error { return d.serveOperators(ctx, operators) })
--- a/internal/entry/gossip.go
+++ b/internal/entry/gossip.go
@@ -158,13 +158,14 @@
 	for _, u := range c.d.dispatcher.Usage(now, nil) {
 		row := message.UsageCount{
 			Daemon: u.Daemon, Organisation: u.Organisation, Rank: u.Rank, Service: u.Service,
-			Requests: u.Requests, Tokens: u.Tokens, Sequence: u.Sequence,
+			Requests: u.Requests, Offered: u.Offered, Tokens: u.Tokens, Sequence: u.Sequence,
 		}
 		key := keyOfCount(row)
 		if last, ok := x.counts[key]; !ok || last.Tokens != row.Tokens || last.Requests != row.Requests {
 			x.counts[key] = row
 		}
 	}
+	c.view.usage = cloneMap(x.counts)
 	var changed message.Usage
 	for key, row := range x.counts {
 		if x.sent[key] != row.Sequence {
@@ -311,7 +312,7 @@
 		x.counts[key] = row
 		news = append(news, admission.PeerUsage{
 			Daemon: row.Daemon, Organisation: row.Organisation, Rank: row.Rank, Service: row.Service,
-			Sequence: row.Sequence, Tokens: row.Tokens, Requests: row.Requests,
+			Sequence: row.Sequence, Tokens: row.Tokens, Requests: row.Requests, Offered: row.Offered,
 		})
 	}
 	if len(news) > 0 {
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"apricotbridge/internal/membership"
+	"apricotbridge/internal/message"
 	"apricotbridge/internal/routing"
 	"apricotbridge/pkg/config"
 )
@@ -30,6 +31,8 @@
 	// Relay says that this daemon reads the configuration and the instance list
 	// for its place; the others learn them from peers.
 	Relay bool
+	// usage has the usage rows of all daemons, for placement.
+	usage map[countKey]message.UsageCount
 	// ends has the deadlines of leaving servers.
 	ends map[string]time.Time
 }
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -297,6 +297,9 @@
 	// Daemon that served them.
 	Daemon string `json:"Daemon"`
 
+	// Estimated tokens of the offered requests.
+	Offered float64 `json:"Offered,omitempty,omitzero"`
+
 	// Organisation that they were served to.
 	Organisation string `json:"Organisation"`
 
@@ -314,7 +317,4 @@
 
 	// Tokens since the daemon started.
 	Tokens float64 `json:"Tokens"`
-
-	// Requests that wait.
-	Waiting int `json:"Waiting,omitempty,omitzero"`
 }
