bench: measure the ledger and its takeover

Cause: the design names a claim per order and a takeover that reads the whole shard as the alternatives to shards with group commit and separate indexes.

--- a/internal/bench/measures.go
+++ b/internal/bench/measures.go
@@ -1,4 +1,7 @@
 package bench
 
 // measures lists every measure.
-var measures = []Measure{}
+var measures = []Measure{
+	{"ledger", "claims per order against shards with group commit", measureLedger},
+	{"takeover", "takeover by indexes against reading the whole shard", measureTakeover},
+}
