admission: forget peers that were silent for long

They go after forgetAfter. The first report of a counter is now always a base only: a report that holds a part of the counters would otherwise charge the tokens of hours. Both tests failed before (300 entries of 100 daemons; 500 tokens charged).

--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"slices"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -90,4 +91,8 @@
 	}
 }
 
+func (l *RateLimit) forget(now time.Time) {
+	l.peers = slices.DeleteFunc(l.peers, func(p peerDemand) bool { return now.Sub(p.at) > forgetAfter })
+}
+
 func abs(v float64) float64 { return max(v, -v) }
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -327,6 +327,7 @@
 		charged float64
 	}{
 		{"first contact", [][]PeerUsage{usage("p", 1, 500, 0)}, 0},
+		{"first report of a counter", [][]PeerUsage{{{Daemon: "p", Organisation: "b", Rank: "batch", Service: "model", Sequence: 1}}, usage("p", 2, 500, 0)}, 0},
 		{"difference", [][]PeerUsage{usage("p", 1, 500, 0), usage("p", 2, 700, 0)}, 200},
 		{"repeated", [][]PeerUsage{usage("p", 1, 500, 0), usage("p", 2, 700, 0), usage("p", 2, 700, 0)}, 200},
 		{"out of order", [][]PeerUsage{usage("p", 1, 500, 0), usage("p", 3, 700, 0), usage("p", 2, 600, 0)}, 200},
@@ -358,6 +359,20 @@
 	}
 }
 
+// TestForget guards against memory that grows with each replaced daemon.
+func TestForget(t *testing.T) {
+	q := &Queue{Daemon: "me", Ranks: testRanks}
+	for i := range 100 {
+		now := start.Add(time.Duration(i) * time.Minute)
+		for sequence := range int64(2) {
+			q.Merge(now, usage("p"+strconv.Itoa(i), sequence+1, float64(sequence), 0))
+		}
+	}
+	if n := len(q.peers) + len(q.daemons) + len(q.orgs[0].limit.peers); n > 3*7 {
+		t.Errorf("%d entries of 100 daemons remain", n)
+	}
+}
+
 // TestCounters guards against counters that fall when an estimate is corrected.
 func TestCounters(t *testing.T) {
 	q := &Queue{Daemon: "me", Ranks: testRanks}
--- a/internal/admission/usage.go
+++ b/internal/admission/usage.go
@@ -67,10 +67,11 @@
 		}
 	}
 	for _, u := range reports {
-		if u.Daemon != q.Daemon {
-			q.daemons[u.Daemon] = now.Add(-u.Age)
+		if at := now.Add(-u.Age); u.Daemon != q.Daemon && at.After(q.daemons[u.Daemon]) {
+			q.daemons[u.Daemon] = at // A relayed report may be older than a direct one.
 		}
 	}
+	q.forget(now)
 	live := 1
 	for _, at := range q.daemons {
 		if now.Sub(at) <= q.StaleAfter {
@@ -84,6 +85,29 @@
 	}
 }
 
+// forget removes the counters of daemons that were silent for long, so that
+// replaced daemons don't fill the memory.
+func (q *Queue) forget(now time.Time) {
+	gone := false
+	for daemon, at := range q.daemons {
+		if now.Sub(at) > forgetAfter {
+			delete(q.daemons, daemon)
+			gone = true
+		}
+	}
+	if !gone {
+		return
+	}
+	for key := range q.peers {
+		if _, ok := q.daemons[key.daemon]; !ok {
+			delete(q.peers, key)
+		}
+	}
+	for _, org := range q.orgs {
+		org.limit.forget(now)
+	}
+}
+
 func (q *Queue) mergeOne(now time.Time, u PeerUsage) {
 	key := peerKey{u.Daemon, u.Service, u.Rank, u.Organisation}
 	last, known := q.peers[key]
@@ -92,12 +116,10 @@
 	}
 	at := now.Add(-u.Age)
 	q.peers[key] = peerCount{sequence: u.Sequence, tokens: u.Tokens, requests: u.Requests, at: at}
-	before, heard := q.daemons[u.Daemon]
 	if !known {
-		if !heard {
-			return // The first report is the base for the next.
-		}
-		last.at = before
+		// The first report is the base for the next. Its tokens may be those of
+		// hours, as reports may hold a part of the counters only.
+		return
 	}
 	tokens, requests := u.Tokens-last.tokens, u.Requests-last.requests
 	if u.Tokens < last.tokens || u.Requests < last.requests { // The daemon restarted.
