adoption: decide which configuration revision is in force

Cause: an accepted configuration has to be in force everywhere within 3 s and must never revert, through outages of the key-value service, partitions and the replacement of every daemon.

A daemon only takes a revision above the highest it holds. It pushes it to 4 near peers; digests repair what is missed, and far daemons fetch, spread over 400 ms so that the first one's push saves the others the slow link. A revision that can't be parsed is held and passed on, but not put in force. Each daemon polls the key-value service at a low rate, because a data centre whose relay died would else wait for the relay's lease to lapse.

Ruled out: pushes across regions, since 190 daemons would send 50 KB each over 30 Mbit/s; a poll of one second for each daemon, which is 380 reads/s.

Before: nothing.

--- /dev/null
+++ b/internal/adoption/adoption_test.go
@@ -0,0 +1,249 @@
+package adoption
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"apricotbridge/internal/membership"
+)
+
+func deployment(n int) []membership.Daemon {
+	places := [][2]string{
+		{"saare", "kuressaare"},
+		{"saare", "orissaare"},
+		{"harju", "ulemiste"},
+		{"saare", "leisi"},
+		{"harju", "viimsi"},
+		{"harju", "keila"},
+	}
+	if n < 60 {
+		places = places[:3]
+	}
+	all := make([]membership.Daemon, n)
+	for i := range all {
+		p := places[i%len(places)]
+		all[i] = membership.Daemon{ID: fmt.Sprint("d", i), Start: 1, Region: p[0], Place: p[1]}
+	}
+	return all
+}
+
+// operation is the input of an apply or of a read at one life of a daemon.
+type operation struct {
+	apply bool
+	life  string
+}
+
+// register is the state of the model: what is committed, and what one life of a
+// daemon read last.
+type register struct{ committed, read int64 }
+
+// model accepts a history when each daemon only reads revisions that were
+// committed, with their bytes, and never an older one than before.
+var model = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		var applies []porcupine.Operation
+		reads := map[string][]porcupine.Operation{}
+		for _, o := range history {
+			if in := o.Input.(operation); in.apply {
+				applies = append(applies, o)
+			} else {
+				reads[in.life] = append(reads[in.life], o)
+			}
+		}
+		var parts [][]porcupine.Operation
+		for _, r := range reads {
+			parts = append(parts, append(r, applies...))
+		}
+		return parts
+	},
+	Init: func() any { return register{} },
+	Step: func(state, input, output any) (bool, any) {
+		s, r := state.(register), output.(Revision)
+		if input.(operation).apply {
+			return r.Number > s.committed, register{committed: r.Number, read: s.read}
+		}
+		whole := r.Number == 0 || strings.HasPrefix(string(r.Value), fmt.Sprint(r.Number, " "))
+		return whole && r.Number >= s.read && r.Number <= s.committed, register{committed: s.committed, read: r.Number}
+	},
+	Equal: func(a, b any) bool { return a == b },
+}
+
+// check runs 30 s with concurrent applies and reads, an outage, a partition, a
+// lagging watch and the replacement of every daemon. It returns the violations.
+func check(seed uint64, last bool) (violations []string) {
+	w := newWorld(seed, deployment(12))
+	w.last, w.late, w.lag = last, true, 200*time.Millisecond
+	r := rand.New(rand.NewPCG(seed, 2))
+	between := func(from, to int) time.Duration {
+		return time.Duration(from+r.IntN(to-from)) * time.Millisecond
+	}
+	for _, spans := range []*[]span{&w.outages, &w.partitions} {
+		from := epoch.Add(between(2000, 18000))
+		*spans = append(*spans, span{from: from, to: from.Add(between(500, 5000))})
+	}
+	var history []porcupine.Operation
+	for _, n := range w.nodes {
+		w.after(between(0, 500), func() { w.start(n) })
+		down := between(4000, 24000)
+		w.after(down, func() { n.up = false })
+		w.after(down+between(100, 1500), func() { w.start(n) })
+		for range 60 {
+			w.after(between(500, 30000), func() {
+				if !n.up {
+					return
+				}
+				got, _ := n.state.InForce()
+				at := w.now.Sub(epoch).Nanoseconds()
+				life := fmt.Sprintf("%s/%d", n.ID, n.life)
+				history = append(history, porcupine.Operation{Input: operation{life: life}, Call: at, Output: got, Return: at + 1})
+				start := w.now.Add(-3 * time.Second)
+				for _, s := range append(append([]span{}, w.outages...), w.partitions...) {
+					if s.from.Before(w.now) && s.to.After(start) {
+						return // Not connected for 3 s.
+					}
+				}
+				for _, c := range w.commits {
+					if !n.since.After(start) && !c.at.After(start) && c.Number > got.Number {
+						violations = append(violations, fmt.Sprintf("%s has revision %d, not %d, %s after its commit", life, got.Number, c.Number, w.now.Sub(c.at)))
+					}
+				}
+			})
+		}
+	}
+	for range 3 { // Operators that apply concurrently.
+		for range 8 {
+			w.after(between(600, 26000), func() {
+				base, call := len(w.commits), w.now.Sub(epoch).Nanoseconds()
+				w.after(between(1, 400), func() {
+					if len(w.commits) != base || in(w.outages, w.now) {
+						return // Another operator was first, or the service is not there.
+					}
+					out := w.commit("value")
+					end := w.now.Add(between(1, 300)).Sub(epoch).Nanoseconds()
+					history = append(history, porcupine.Operation{Input: operation{apply: true}, Call: call, Output: out, Return: end})
+				})
+			})
+		}
+	}
+	w.run(30 * time.Second)
+	for i := range history {
+		history[i].ClientId = i // Each operation is a client's own: applies overlap.
+	}
+	if !porcupine.CheckOperations(model, history) {
+		violations = append(violations, "history is not that of a configuration that only rises")
+	}
+	return violations
+}
+
+// Guards against a configuration that reverts at a daemon, one that nobody
+// applied, and one that is not in force at a connected daemon after 3 s. A
+// variant that adopts whatever comes last is shown to fail.
+func TestHistories(t *testing.T) {
+	caught := 0
+	for seed := range uint64(40) {
+		if v := check(seed, false); len(v) > 0 {
+			t.Fatalf("seed %d: %d violations, first: %s", seed, len(v), v[0])
+		}
+		if v := check(seed, true); len(v) > 0 && strings.HasPrefix(v[len(v)-1], "history") {
+			caught++
+		}
+	}
+	t.Logf("seeds 0 to 39: the history of the broken variant is refused with %d", caught)
+	if caught == 0 {
+		t.Error("the variant that adopts whatever comes last passes")
+	}
+}
+
+// Guards against a push that reaches too few daemons, in too many hops or with
+// more bytes than 17 KB/s allow at 1,700 changes a day.
+func TestFanOut(t *testing.T) {
+	const seed, size = 11, 50_000
+	w := newWorld(seed, deployment(380))
+	for _, n := range w.nodes {
+		w.start(n)
+		n.state.Poll = 0
+	}
+	w.run(2 * time.Second)
+	for _, n := range w.nodes {
+		n.bytes, n.pushed = 0, 0
+	}
+	w.commit(strings.Repeat("x", size))
+	count := func() (reached, hops, most, total int) {
+		for _, n := range w.nodes {
+			if r, _ := n.state.InForce(); r.Number > 0 {
+				reached++
+				hops = max(hops, n.hops)
+			}
+			most, total = max(most, n.bytes), total+n.bytes
+		}
+		return reached, hops, most, total
+	}
+	w.run(w.now.Sub(epoch) + 100*time.Millisecond)
+	early, hops, _, _ := count()
+	t.Logf("seed %d: %d of 380 daemons in 100 ms, at most %d hops", seed, early, hops)
+	w.run(w.now.Sub(epoch) + 2*time.Second)
+	reached, hops, most, total := count()
+	perSecond := float64(total) / 380 * 1700 / 86400
+	t.Logf("in force at %d after 2.1 s, at most %d hops; %d KB sent by one daemon at most, %d KB on average, %.0f B/s at 1,700 changes a day",
+		reached, hops, most/1000, total/380/1000, perSecond)
+	if reached != 380 || perSecond > 17_000 {
+		t.Errorf("%d daemons, %.0f B/s", reached, perSecond)
+	}
+}
+
+// Guards against a daemon that stops at a revision it can't parse, reverts, or is
+// sent it again each second, and against a fault that operators do not see.
+func TestUnparsable(t *testing.T) {
+	s := &State{Rand: rand.New(rand.NewPCG(1, 1)), Parse: func(v []byte) error {
+		if string(v) == "broken" {
+			return fmt.Errorf("broken")
+		}
+		return nil
+	}}
+	s.SetPeers([]Peer{{ID: "a", Near: true}, {ID: "b", Near: true}})
+	s.Offer(epoch, Revision{3, []byte("good")}, Source{Push, "a"})
+	actions := s.Offer(epoch, Revision{5, []byte("broken")}, Source{Push, "a"})
+	if len(actions) != 2 || actions[0].Verb != Alarm || actions[1].Verb != PushTo || actions[1].Peers[0] != "b" {
+		t.Errorf("actions %+v", actions)
+	}
+	if r, c := s.InForce(); r.Number != 3 || c != Unconfirmed || s.Shown() != 5 {
+		t.Errorf("revision %d %s in force, %d shown", r.Number, c, s.Shown())
+	}
+	if a := s.Offer(epoch, Revision{6, []byte("good")}, Source{Kind: KeyValue}); a[0].Verb != Adopt {
+		t.Errorf("actions %+v", a)
+	}
+	if a := s.Offer(epoch, Revision{4, []byte("old")}, Source{Kind: KeyValue}); a[0].Verb != Alarm {
+		t.Errorf("a key-value service that went back gives %+v", a)
+	}
+	if r, c := s.InForce(); r.Number != 6 || c != ByKeyValue {
+		t.Errorf("revision %d %s in force", r.Number, c)
+	}
+}
+
+// Guards against a daemon that starts during an outage with an older revision
+// than a reachable peer has.
+func TestStartInOutage(t *testing.T) {
+	s := &State{Rand: rand.New(rand.NewPCG(1, 1)), Parse: func([]byte) error { return nil }}
+	s.SetPeers([]Peer{{ID: "a", Near: true}, {ID: "b"}})
+	s.Tick(epoch)
+	s.Missed(epoch)
+	s.Offer(epoch, Revision{7, []byte("7")}, Source{Push, "a"})
+	if s.Ready(epoch) {
+		t.Error("ready before the other peer was heard")
+	}
+	s.Offer(epoch, Revision{Number: 9}, Source{Digest, "b"})
+	at := epoch.Add(fetchSpread)
+	if a := s.Tick(at); len(a) == 0 || a[len(a)-1].Verb != Fetch || a[len(a)-1].Peers[0] != "b" {
+		t.Errorf("actions %+v", a)
+	}
+	s.Offer(at, Revision{9, []byte("9")}, Source{Push, "b"})
+	s.Offer(at, Revision{Number: 9}, Source{Digest, "a"})
+	if r, c := s.InForce(); r.Number != 9 || c != ByPeers || !s.Ready(at) {
+		t.Errorf("revision %d %s in force, ready %t", r.Number, c, s.Ready(at))
+	}
+}
