message: add Fetch, with which a daemon asks a peer for its configuration

Cause: adoption.Fetch has no message; a digest makes only a near peer push. Ruled out: a flag in Digest, because digests are dropped when a queue is full. After: go test -count=1 ./internal/message passes.

--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -72,6 +72,12 @@
 	Kind Kind `json:"Kind"`
 }
 
+// Fetch asks the receiver for its configuration.
+type Fetch struct {
+	// Revision that the sender has; the receiver answers with a higher one only.
+	Above int64 `json:"Above"`
+}
+
 // Forward asks the receiver to serve a request whose ledger shard or stream it
 // holds.
 type Forward struct {
@@ -220,6 +226,7 @@
 const KindCancel Kind = "Cancel"
 const KindConfiguration Kind = "Configuration"
 const KindDigest Kind = "Digest"
+const KindFetch Kind = "Fetch"
 const KindForward Kind = "Forward"
 const KindForwardAnswer Kind = "ForwardAnswer"
 const KindHandover Kind = "Handover"
--- a/internal/peer/counters.go
+++ b/internal/peer/counters.go
@@ -16,7 +16,7 @@
 	c := &counters{messages: map[string]metrics.Counter{}, bytes: map[string]metrics.Counter{}}
 	for _, event := range []string{"sent", "received", "dropped", "refused"} {
 		for _, kind := range []message.Kind{
-			message.KindHello, message.KindDigest, message.KindConfiguration, message.KindMembers,
+			message.KindHello, message.KindDigest, message.KindConfiguration, message.KindFetch, message.KindMembers,
 			message.KindUsage, message.KindQuarantine, message.KindForward, message.KindForwardAnswer,
 			message.KindCancel, message.KindHandover, message.KindHandoverAccepted, "Unknown",
 		} {
