caller: add the callers' library

A request is sent again only when it certainly did not run (a refused connection, or a problem that says NotRun and ComeBack) or when that is safe (a key, a safe method, a prompt). An OutcomeUnknown that a daemon states is final. Waits follow Retry-After with jitter of up to half as long again, and a budget of a tenth of the requests bounds the retries. A broken stream is resumed by request id and Last-Event-ID at the entry that had it, at the one that a moved event names, and at the others.

net/http repeats keyed and safe requests on reused connections by itself. Taking away the body's GetBody was ruled out: an order on an idle connection that the daemon had closed would then have an unknown outcome although nothing was sent.

--- /dev/null
+++ b/pkg/caller/stream_test.go
@@ -0,0 +1,214 @@
+package caller
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"github.com/juju/errors"
+
+	"apricotbridge/pkg/problem"
+)
+
+// streamer serves one answer and breaks it at random places.
+type streamer struct {
+	r      *rand.Rand
+	tokens int
+	breaks int
+	other  string // The entry to which a moved event leads.
+}
+
+func (s *streamer) serve(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.Atoi(r.Header.Get("Last-Event-ID")) // Absent is 0.
+	w.Header().Set("Content-Type", "text/event-stream")
+	if s.breaks > 0 {
+		// An entry may begin before or after the token that was asked for.
+		after = max(0, after+s.r.IntN(5)-3)
+	}
+	for n := after + 1; n <= s.tokens; n++ {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: {\"choices\":[{\"text\":\"t%d \"}]}\n\n", n, n)
+		if s.breaks > 0 && s.r.IntN(4) == 0 {
+			s.breaks--
+			if s.r.IntN(2) == 0 {
+				_, _ = fmt.Fprintf(w, "event: moved\ndata: {\"Entry\":%q}\n\n", s.other)
+				return
+			}
+			_, _ = io.WriteString(w, "id: 99\ndata: {\"choi")
+			_ = http.NewResponseController(w).Flush() // What was written must arrive.
+			panic(http.ErrAbortHandler)
+		}
+	}
+	_, _ = io.WriteString(w, "data: [DONE]\n\n")
+}
+
+// text reads a stream to its end.
+func text(s *Stream) (string, error) {
+	var b strings.Builder
+	for {
+		t, err := s.Next()
+		if errors.Is(err, io.EOF) {
+			return b.String(), nil
+		}
+		if err != nil {
+			return b.String(), err
+		}
+		b.WriteString(t.Text)
+	}
+}
+
+// TestStreamResumes guards against tokens that are missing or repeated after
+// streams that break, move, go back or leave out tokens.
+func TestStreamResumes(t *testing.T) {
+	want := ""
+	for n := 1; n <= 40; n++ {
+		want += fmt.Sprintf("t%d ", n)
+	}
+	resumed := 0
+	for seed := uint64(1); seed <= 60; seed++ {
+		b := newEntry(t)
+		s := &streamer{r: rand.New(rand.NewPCG(seed, 2)), tokens: 40, breaks: 6, other: b.address()}
+		a := newEntry(t, slices.Repeat([]http.HandlerFunc{s.serve}, 100)...)
+		b.script = slices.Repeat([]http.HandlerFunc{refuse(problem.NotFound, 0), s.serve, s.serve, s.serve}, 25)
+		a.list = []string{a.address(), b.address()}
+		client, _ := newClient(t, a.address())
+		client.Seed = seed
+		stream, err := client.Stream(t.Context(), Prompt{Model: "m", Prompt: "p"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := text(stream)
+		if err != nil || got != want {
+			t.Errorf("seed %d: error %v after %d resumes, text %q", seed, err, stream.Resumed(), got)
+		}
+		resumed += stream.Resumed()
+		if err := stream.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if resumed < 100 {
+		t.Errorf("only %d resumes in 60 streams; the test breaks too few", resumed)
+	}
+}
+
+// TestStreamEnds guards against streams that hang, or that end without a problem
+// when the answer is not whole.
+func TestStreamEnds(t *testing.T) {
+	part := func(rest string) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = io.WriteString(w, "id: 1\ndata: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n"+rest)
+			if rest == "" {
+				_ = http.NewResponseController(w).Flush() // The token must arrive before the silence.
+				<-r.Context().Done()
+			}
+		}
+	}
+	failed := "event: error\ndata: {\"type\":\"urn:apricotbridge:problem:BackendFailed\",\"Kind\":\"BackendFailed\"}\n\n"
+	for name, c := range map[string]struct {
+		script []http.HandlerFunc
+		want   string
+		kind   problem.Kind
+	}{
+		"whole":            {script: []http.HandlerFunc{part("data: [DONE]\n\n")}, want: "a"},
+		"error event":      {script: []http.HandlerFunc{part(failed)}, want: "a", kind: problem.BackendFailed},
+		"silent":           {script: []http.HandlerFunc{part(""), part("data: [DONE]\n\n")}, want: "a"},
+		"never whole":      {script: slices.Repeat([]http.HandlerFunc{part("data")}, 100), want: "a", kind: problem.OutcomeUnknown},
+		"forgotten":        {script: append([]http.HandlerFunc{part("data")}, slices.Repeat([]http.HandlerFunc{refuse(problem.NotFound, 0)}, 100)...), want: "a", kind: problem.NotFound},
+		"ended meanwhile":  {script: []http.HandlerFunc{part("data"), refuse(problem.Poisonous, 0)}, want: "a", kind: problem.Poisonous},
+		"refused at first": {script: []http.HandlerFunc{refuse(problem.UnknownModel, 0)}, kind: problem.UnknownModel},
+		"lost at first":    {script: []http.HandlerFunc{drop, part("data: [DONE]\n\n")}, want: "a"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newEntry(t, c.script...)
+			client, _ := newClient(t, e.address())
+			client.Idle = 100 * time.Millisecond
+			stream, err := client.Stream(t.Context(), Prompt{Model: "m", Messages: []Message{{Role: "user", Content: "p"}}})
+			got := ""
+			if err == nil {
+				defer stream.Close()
+				got, err = text(stream)
+			}
+			var p *problem.Problem
+			if got != c.want || errors.As(err, &p) != (c.kind != "") || p != nil && p.Kind != c.kind {
+				t.Errorf("text %q, error %v; want %q, kind %q", got, err, c.want, c.kind)
+			}
+		})
+	}
+}
+
+// TestComplete guards against whole answers that are lost when another entry
+// continues them or when they are fetched later.
+func TestComplete(t *testing.T) {
+	whole := func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `{"id":"r1","model":"m","choices":[{"message":{"role":"assistant","content":"hello"},"finish_reason":"stop"}],"usage":{"prompt_tokens":3,"completion_tokens":1}}`)
+	}
+	other := newEntry(t, refuse(problem.NotFound, 0), whole, whole, whole)
+	moved := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Location", "http://"+other.address()+"/v1/requests/r1")
+		w.WriteHeader(http.StatusAccepted)
+		_, _ = io.WriteString(w, `{"RequestID":"r1","Entry":"`+other.address()+`"}`)
+	}
+	first := newEntry(t, moved, refuse(problem.NotFound, 0), moved)
+	client, _ := newClient(t, first.address())
+	got, err := client.Complete(t.Context(), Prompt{Model: "m", Prompt: "p"})
+	if err != nil || got.Text != "hello" || got.Finish != "stop" || got.Usage.PromptTokens != 3 {
+		t.Errorf("completion is %+v, error %v", got, err)
+	}
+	draft, err := client.Submit(t.Context(), Prompt{Model: "m", Prompt: "p"})
+	if err != nil || draft.ID != "r1" || draft.Completion != nil {
+		t.Fatalf("draft is %+v, error %v", draft, err)
+	}
+	if sent := first.requests()[2]; len(strings.TrimPrefix(sent, "POST /v1/completions ")) != 36 {
+		t.Errorf("the draft was sent without a key: %q", sent)
+	}
+	if got, err = client.await(t.Context(), draft.ID, other.address()); err != nil || got.Text != "hello" {
+		t.Errorf("completion is %+v, error %v", got, err)
+	}
+}
+
+// FuzzEventReader guards against panics, unbounded memory, and events that depend
+// on how the bytes arrive.
+func FuzzEventReader(f *testing.F) {
+	for _, seed := range []string{
+		"id: 1\ndata: {\"choices\":[]}\n\ndata: [DONE]\n\n", "data: a\r\ndata: b\r\n\r\nevent: x\rdata:\r\r", ": comment\n\n\n",
+		"\ufeffdata: x\n\n", "id: \x00\ndata\n\nid\ndata: y\n\n", "event: error\ndata: {}\n\ndata: cut", "\xef\xbb",
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, input []byte) {
+		whole, err := readEvents(NewEventReader(strings.NewReader(string(input))))
+		single, errSingle := readEvents(NewEventReader(iotest.OneByteReader(strings.NewReader(string(input)))))
+		if !slices.Equal(whole, single) || !errors.Is(errSingle, err) {
+			t.Fatalf("events differ by arrival: %q, %v and %q, %v", whole, err, single, errSingle)
+		}
+		var again strings.Builder
+		for _, e := range whole {
+			if strings.Contains(e.ID+e.Name+e.Data, "\r") || strings.ContainsAny(e.ID, "\n\x00") || strings.Contains(e.Name, "\n") {
+				t.Fatalf("event %q holds the end of a line", e)
+			}
+			fmt.Fprintf(&again, "id: %s\nevent: %s\ndata: %s\n\n", e.ID, e.Name, strings.ReplaceAll(e.Data, "\n", "\ndata: "))
+		}
+		second, _ := readEvents(NewEventReader(strings.NewReader(again.String())))
+		if !slices.Equal(whole, second) {
+			t.Fatalf("events written again differ: %q and %q", whole, second)
+		}
+	})
+}
+
+func readEvents(r *EventReader) ([]Event, error) {
+	var events []Event
+	for {
+		e, err := r.Next()
+		if err != nil {
+			return events, err
+		}
+		events = append(events, e)
+	}
+}
