operations, cmd: add request

The command sends one prompt or call through the callers' library, so that an operator sees what a caller sees. It exits with 3 when the request was not run and may be sent again. TestRequest runs prompts, a stream, a draft and an order through a daemon with stand-ins behind it; the order runs once.

--- a/cmd/apricotbridge/commands_test.go
+++ b/cmd/apricotbridge/commands_test.go
@@ -84,6 +84,9 @@
 		{name: "show as neither", args: "show --output x --key-value " + service.URL, code: 2, want: "neither json nor table"},
 		{name: "drain a closed port", args: "drain " + strings.TrimPrefix(gone.URL, "http://"), code: 3},
 		{name: "drain without an address", args: "drain", code: 2},
+		{name: "request to a closed port", args: "request --within 200ms --token t --model m --entry " + strings.TrimPrefix(gone.URL, "http://"), code: 3, want: "connection refused"},
+		{name: "request without an aim", args: "request --entry 127.0.0.1:1", code: 2, want: "either --model or --service"},
+		{name: "request with both", args: "request --entry 127.0.0.1:1 --model m --service s", code: 2},
 		{name: "version", args: "version", want: "apricotbridge "},
 		{name: "completion", args: "completion bash", want: "__start_apricotbridge"},
 	} {
@@ -200,3 +203,36 @@
 		t.Errorf("the drained daemon ends with %v", err)
 	}
 }
+
+// TestRequest guards against requests that are answered wrongly through a daemon,
+// and against exit codes that don't tell whether to send a request again.
+func TestRequest(t *testing.T) {
+	d := deploy(t)
+	d.show(t)
+	t.Setenv(callerTokenVariable, "counter-token")
+	for _, c := range []struct {
+		name string
+		args []string
+		code int
+		want string
+	}{
+		{name: "prompt", args: []string{"--model", "sahayak-llm", "--prompt", "a b c", "--max-tokens", "5"}},
+		{name: "stream", args: []string{"--model", "sahayak-small", "--prompt", "a b c", "--max-tokens", "5", "--stream", "--output", "json"}, want: `"Tokens": 5`},
+		{name: "async", args: []string{"--model", "sahayak-llm", "--prompt", "a b c", "--max-tokens", "5", "--async", "--output", "json"}, want: `"Finish"`},
+		{name: "order", args: []string{"--service", "khata-app", "--path", "/orders", "--data", `{"Item": "sukuti"}`, "--key", "order-17"}, want: "201 Created"},
+		{name: "read", args: []string{"--service", "khata-app", "--path", "/catalogue", "--output", "json"}, want: `"Status": 200`},
+		{name: "unknown model", args: []string{"--model", "none", "--prompt", "a"}, code: 1, want: "UnknownModel"},
+		{name: "unknown rank", args: []string{"--model", "sahayak-llm", "--prompt", "a", "--rank", "none"}, code: 1, want: "BadRequest"},
+		{name: "unknown token", args: []string{"--token", "x", "--model", "sahayak-llm", "--prompt", "a"}, code: 1, want: "Unauthorized"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			output, code := command(t, append([]string{"request", "--entry", d.daemon.CallerAddress()}, c.args...)...)
+			if code != c.code || output == "" || !strings.Contains(output, c.want) {
+				t.Errorf("exit code %d; want %d with %q:\n%s", code, c.code, c.want, output)
+			}
+		})
+	}
+	if runs := d.runs.All(); len(runs) != 1 || runs[0].Key != "order-17" {
+		t.Errorf("the order service ran %+v; want one order", runs)
+	}
+}
