--- /dev/null
+++ b/internal/entry/attempt.go
@@ -0,0 +1,282 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/juju/errors"
+
+	"apricotbridge/internal/admission"
+	"apricotbridge/internal/dispatch"
+	"apricotbridge/internal/engine"
+	"apricotbridge/internal/quarantine"
+	"apricotbridge/internal/routing"
+	"apricotbridge/pkg/problem"
+)
+
+const (
+	errAnswerTooLong = errors.ConstError("answer exceeds the buffer")
+	// errStopped is the cause of the end of an attempt that made room or whose
+	// server is leaving.
+	errStopped = errors.ConstError("attempt stopped")
+	// maxAttempts bounds the attempts that fail. Attempts that were stopped do not
+	// count.
+	maxAttempts = 4
+)
+
+// runModelCall produces the answer: it waits for its turn and runs attempts until
+// one is complete. Each attempt goes on after the events of those before it.
+func (d *Daemon) runModelCall(ctx context.Context, call *modelCall, a *answer) *problem.Problem {
+	stop := make(chan struct{}, 1)
+	w := d.modelWork(call, a, stop)
+	if p := d.dispatcher.Submit(time.Now(), w); p != nil {
+		return p
+	}
+	failures := 0
+	leave := (<-chan struct{})(a.leave)
+	defer d.cancelPrevious(call)
+	for {
+		grant, err := d.turn(ctx, w, leave)
+		if errors.Is(err, errLeaving) {
+			if d.handOver(ctx, call, a) {
+				d.dispatcher.Cancel(time.Now(), call.id)
+				return nil
+			}
+			leave = nil
+			continue
+		}
+		if err != nil {
+			return problem.New(problem.Internal, "request was cancelled")
+		}
+		if grant.Problem != nil {
+			return grant.Problem
+		}
+		d.logRouting(call.id, call.service.Name, failures+1, grant)
+		ending, err := d.attempt(ctx, call, a, w, grant.Server, stop, leave)
+		if err == nil {
+			return nil
+		}
+		if ctx.Err() != nil {
+			d.dispatcher.Cancel(time.Now(), call.id)
+			return problem.New(problem.Internal, "request was cancelled")
+		}
+		if errors.Is(err, errLeaving) {
+			if d.handOver(ctx, call, a) {
+				d.dispatcher.Cancel(time.Now(), call.id)
+				return nil
+			}
+			leave = nil // No daemon took it; it goes on here.
+		}
+		if p := finalProblem(err); p != nil {
+			d.dispatcher.Cancel(time.Now(), call.id)
+			return p
+		}
+		if ending != dispatch.Stopped {
+			failures++
+		}
+		d.Log.Info("attempt ended early", "RequestID", call.id, "Server", grant.Server.ID, "Ending", ending.String(), "Error", err.Error())
+		if failures >= maxAttempts && !w.Durable {
+			d.dispatcher.Cancel(time.Now(), call.id)
+			return problem.New(problem.BackendFailed, "%d attempts failed", failures)
+		}
+		if p := d.dispatcher.Retry(time.Now(), call.id, ending); p != nil {
+			return p
+		}
+	}
+}
+
+// modelWork returns the work of a model call. Its prompt is hashed for the prefix
+// cache and the fingerprint; the text itself is not kept.
+func (d *Daemon) modelWork(call *modelCall, a *answer, stop chan<- struct{}) *dispatch.Work {
+	blocks := routing.PromptBlocks(call.prompt, call.model, "")
+	return &dispatch.Work{
+		Request: admission.Request{
+			ID: call.id, Organisation: call.organisation, Rank: call.rank, Service: call.service.Name,
+			PromptTokens: len(call.prompt) / routing.BytesPerToken, MaxTokens: call.maxTokens, Arrived: call.received,
+			Generated: a.generated(),
+		},
+		Call: routing.Call{
+			RequestID: call.id, Service: call.service.Name, Rank: call.rank, Model: call.model, Session: call.session,
+			Place: d.Settings.Place, Region: d.Settings.Region, Blocks: blocks,
+			PromptTokens: len(call.prompt) / routing.BytesPerToken, ExpectedTokens: call.maxTokens,
+		},
+		Fingerprint: quarantine.FingerprintOf(call.organisation, call.service.Name, call.body),
+		Durable:     call.durable,
+		Stop: func() {
+			select {
+			case stop <- struct{}{}:
+			default: // The attempt was told already.
+			}
+		},
+	}
+}
+
+// turn waits until the request gets a turn. It returns errLeaving when the
+// request has to move first.
+func (d *Daemon) turn(ctx context.Context, w *dispatch.Work, leave <-chan struct{}) (dispatch.Grant, error) {
+	select {
+	case grant := <-w.Grants():
+		return grant, nil
+	case <-leave:
+		return dispatch.Grant{}, errLeaving
+	case <-ctx.Done():
+		d.dispatcher.Cancel(time.Now(), w.Request.ID)
+		return dispatch.Grant{}, ctx.Err()
+	}
+}
+
+// attempt runs the request at one server. It returns nil when the answer is
+// complete, and otherwise how the attempt ended.
+func (d *Daemon) attempt(ctx context.Context, call *modelCall, a *answer, w *dispatch.Work, server routing.Server, stop, leave <-chan struct{}) (dispatch.Ending, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	select {
+	case <-stop: // Meant for an attempt before this one.
+	default:
+	}
+	watching := make(chan struct{})
+	go func() {
+		defer close(watching)
+		select {
+		case <-stop:
+			cancel(errStopped)
+		case <-leave:
+			cancel(errLeaving)
+		case <-ctx.Done():
+		}
+	}()
+	defer func() {
+		cancel(nil)
+		<-watching
+	}()
+
+	number, prior, ok := a.begin()
+	if !ok {
+		return dispatch.Stopped, errors.Annotate(errStopped, "answer takes no more attempts")
+	}
+	s := &attemptStream{d: d, call: call, answer: a, number: number, id: fmt.Sprintf("%s/%d", call.id, number), prior: len(prior), generated: len(prior)}
+	d.continueFrom(ctx, call, a, w, server, s.id)
+	d.cancelPrevious(call)
+	q := engine.Request{Stream: s.id, Body: call.body, Chat: call.chat, Priority: call.priority, Prior: prior, Blocks: w.Call.Blocks}
+	q.Started = func(l engine.Load) { s.load = &routing.Load{Running: l.Running, Waiting: l.Waiting} }
+	err := d.Engine.Stream(ctx, server.Address, q, s.token)
+	ending := dispatch.Broken
+	for resumes := 0; err != nil; resumes++ {
+		ending = d.endingOf(ctx, err, server)
+		if ending != dispatch.Broken || resumes >= maxResumes || !errors.Is(err, engine.ErrBroken) {
+			break
+		}
+		// The engine is there and keeps the stream for a while.
+		d.Log.Info("stream resumed at its engine", "RequestID", call.id, "Server", server.ID, "After", s.generated, "Error", err.Error())
+		err = d.Engine.Resume(ctx, server.Address, s.id, s.generated, s.token)
+	}
+	if err == nil && a.end(number) {
+		d.finishWork(call, a, s.generated-s.prior, s.load)
+		return 0, nil
+	}
+	if err == nil {
+		err = errors.Annotate(engine.ErrBroken, "answer is not complete")
+	}
+	d.dispatcher.Progress(call.id, s.generated-s.prior)
+	a.fail(number)
+	handedOver := errors.Is(context.Cause(ctx), errLeaving)
+	if handedOver {
+		err = errors.Annotate(errLeaving, err.Error())
+	}
+	call.previous = &previousAttempt{
+		server: server, stream: s.id, alive: ending == dispatch.Stopped && (handedOver || d.leaving(server)),
+	}
+	if !call.previous.alive {
+		d.cancelPrevious(call) // A preempted stream frees its slot at once.
+	}
+	return ending, err
+}
+
+// maxResumes bounds the resumes of one attempt at its engine.
+const maxResumes = 2
+
+// attemptStream takes the tokens of one attempt.
+type attemptStream struct {
+	d         *Daemon
+	call      *modelCall
+	answer    *answer
+	number    int
+	id        string
+	prior     int
+	generated int
+	load      *routing.Load
+}
+
+func (s *attemptStream) token(t engine.Token) error {
+	if s.generated == s.prior {
+		now := time.Now()
+		s.d.dispatcher.FirstToken(now, s.call.id)
+		if s.prior == 0 {
+			s.d.metrics.firstToken(s.call.rank, now.Sub(s.call.received))
+		}
+	}
+	s.generated++
+	if s.generated%progressTokens == 0 {
+		s.d.dispatcher.Progress(s.call.id, s.generated-s.prior)
+	}
+	return s.answer.append(s.number, t)
+}
+
+// progressTokens is how often the dispatcher learns the length of an answer.
+const progressTokens = 16
+
+func (d *Daemon) finishWork(call *modelCall, a *answer, generated int, load *routing.Load) {
+	used := admission.Usage{ID: call.id, OutputTokens: generated}
+	answer := routing.Answer{Load: load}
+	if _, _, usage := a.last(); usage != nil {
+		used.PromptTokens = max(0, usage.PromptTokens-usage.CachedTokens)
+		answer.CachedTokens = usage.CachedTokens
+		d.metrics.tokens(usage)
+	}
+	d.dispatcher.Finish(time.Now(), call.id, used, answer)
+}
+
+// endingOf says how an attempt ended. A server that refuses connections after a
+// response broke off, and that was not told to leave, has crashed.
+func (d *Daemon) endingOf(ctx context.Context, err error, server routing.Server) dispatch.Ending {
+	switch {
+	case errors.Is(context.Cause(ctx), errStopped), errors.Is(context.Cause(ctx), errLeaving):
+		return dispatch.Stopped
+	case errors.Is(err, engine.ErrNotStarted):
+		d.suspect(server)
+		return dispatch.NotStarted
+	}
+	d.suspect(server)
+	if d.leaving(server) {
+		return dispatch.Stopped
+	}
+	probe, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
+	defer cancel()
+	if _, err := d.Engine.Load(probe, server.Address); errors.Is(err, engine.ErrNotStarted) {
+		return dispatch.Crashed
+	}
+	return dispatch.Broken
+}
+
+const probeTimeout = time.Second
+
+// finalProblem returns the problem of an error that another attempt can't mend.
+func finalProblem(err error) *problem.Problem {
+	switch {
+	case errors.Is(err, engine.ErrRejected):
+		return problem.New(problem.BadRequest, "backend server rejected the request: %v", err)
+	case errors.Is(err, errAnswerTooLong):
+		return problem.New(problem.BackendFailed, "%v", err)
+	}
+	return nil
+}
+
+// logRouting writes the log line of a routing decision.
+func (d *Daemon) logRouting(id, service string, attempt int, g dispatch.Grant) {
+	t := g.Decision.Terms
+	d.Log.Info("routing decision", "RequestID", id, "Service", service, "Attempt", attempt, "Server", g.Server.ID,
+		"ServerPlace", g.Server.Place, "Reason", g.Decision.Reason, "Considered", g.Decision.Considered,
+		"Score", g.Decision.Score, "Wait", t.Wait, "Prefill", t.Prefill, "Latency", t.Latency, "Price", t.Price,
+		"Link", t.Link, "Health", t.Health, "CachedTokens", g.Decision.CachedTokens)
+}
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"sort"
 	"strings"
 	"time"
 
@@ -29,6 +28,8 @@
 	view         *View
 	organisation *config.Organisation
 	received     time.Time
+	// forwarded is set for a request that another daemon passed on.
+	forwarded bool
 }
 
 // callerHandler answers a request or returns the problem to answer.
@@ -46,6 +47,7 @@
 	mux.HandleFunc("/", d.open("", func(_ http.ResponseWriter, r *http.Request, _ *caller) *problem.Problem {
 		return problem.New(problem.NotFound, "no such path %q", r.URL.Path)
 	}))
+	d.handler = mux
 	return &http.Server{
 		Handler:           mux,
 		ReadHeaderTimeout: d.Settings.HeaderTimeout.Or(defaultHeaderTimeout),
@@ -58,6 +60,10 @@
 func (d *Daemon) open(method string, h callerHandler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		c := &caller{id: d.newRequestID(), view: d.view.Load(), received: time.Now()}
+		from, forwarded := r.Context().Value(forwardedKey{}).(forwardedFrom)
+		if forwarded {
+			c.id, c.forwarded = from.requestID, true
+		}
 		w.Header().Set("X-Request-ID", c.id)
 		d.active.begin()
 		defer d.active.end()
@@ -69,8 +75,10 @@
 			p = h(w, r, c)
 		}
 		if p == nil {
+			d.metrics.answered("")
 			return
 		}
+		d.metrics.answered(string(p.Kind))
 		p.RequestID = c.id
 		d.Log.Info("request answered with a problem", "RequestID", c.id, "Kind", p.Kind, "Detail", p.Detail)
 		p.Write(w)
@@ -85,6 +93,13 @@
 			p.RetryAfter = retryWithoutConfig
 			return p
 		}
+		if from, ok := r.Context().Value(forwardedKey{}).(forwardedFrom); ok {
+			c.organisation = c.view.Index.OrganisationNamed(from.organisation)
+			if c.organisation == nil {
+				return problem.New(problem.Unauthorized, "organisation %q is not configured here", from.organisation)
+			}
+			return h(w, r, c)
+		}
 		token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 		if !ok {
 			return problem.New(problem.Unauthorized, "header Authorization has no bearer token")
@@ -136,34 +151,15 @@
 	return nil
 }
 
-// entries returns the addresses that callers should use: this daemon, then those
-// of its place, its region and the others. Leaving daemons are left out.
+// entries returns the addresses that callers should use, in order.
 func (d *Daemon) entries(v *View) []string {
-	peers := append([]Registration(nil), v.Peers...)
-	sort.SliceStable(peers, func(i, j int) bool { return d.distance(peers[i]) < d.distance(peers[j]) })
-	found := []string{}
-	if !v.Draining {
-		found = append(found, d.addrs.caller)
-	}
-	for _, p := range peers {
-		if !p.Draining && p.Daemon != d.Settings.Daemon {
-			found = append(found, p.CallerAddress)
-		}
+	found := make([]string, 0, len(v.Entries))
+	for _, e := range v.Entries {
+		found = append(found, e.CallerAddress)
 	}
 	return found
 }
 
-func (d *Daemon) distance(r Registration) int {
-	switch {
-	case r.Place == d.Settings.Place:
-		return 0
-	case r.Region == d.Settings.Region:
-		return 1
-	default:
-		return 2
-	}
-}
-
 // modelList is the answer of GET /v1/models.
 type modelList struct {
 	Object string      `json:"object"`
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -53,12 +53,15 @@
 // requests, and ends Run when the requests in flight have their answers or the
 // deadline has come.
 func (d *Daemon) Drain(ctx context.Context, deadline time.Time) {
-	d.drainAt.Do(func() {
+	d.drainOnce.Do(func() {
 		if deadline.IsZero() {
 			deadline = time.Now().Add(d.Settings.DrainTimeout.Or(defaultDrainTimeout))
 		}
-		d.drainBy.Store(&deadline)
-		d.post(ctx, func(c *controlState, _ time.Time) { c.view.Draining = true })
+		d.post(ctx, func(c *controlState, _ time.Time) {
+			c.view.Draining = true
+			c.daemons.Drain()
+		})
+		close(d.draining)
 		d.Log.Info("drain started", "Deadline", deadline)
 		go d.finishDrain(ctx, deadline)
 	})
@@ -67,12 +70,25 @@
 func (d *Daemon) finishDrain(ctx context.Context, deadline time.Time) {
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
+	released := make(chan struct{})
+	go func() {
+		defer close(released)
+		d.releaseLedger(ctx, deadline)
+	}()
+	moving := make(chan struct{})
+	go func() {
+		defer close(moving)
+		d.handOverRequests(ctx, deadline)
+	}()
 	sleep(ctx, settle)
+	<-released
 	select {
 	case <-d.active.empty():
 		d.Log.Info("drain complete")
 	case <-ctx.Done():
 		d.Log.Info("drain ended at its deadline")
 	}
+	cancel()
+	<-moving
 	close(d.drained)
 }
--- a/internal/entry/order.go
+++ b/internal/entry/order.go
@@ -1,98 +1,176 @@
 package entry
 
 import (
+	"context"
 	"net/http"
-	"strings"
+	"sync"
+	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
 
+	"apricotbridge/internal/ledger"
+	"apricotbridge/internal/registrar"
 	"apricotbridge/internal/service"
-	"apricotbridge/pkg/config"
 	"apricotbridge/pkg/problem"
 )
 
-// hopHeaders belong to one connection (RFC 9110, section 7.6.1) or to the
-// caller's credential and are not passed on.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade", "Authorization", "X-Rank",
+// orders holds the calls of orders between their submission and their dispatch.
+// The ledger keeps only what tells two requests with one key apart; the headers
+// stay here, because a successor never dispatches an order.
+type orders struct {
+	mu    sync.Mutex
+	calls map[string]plainCall
 }
 
-// servePlain passes a call to a plain service.
-func (d *Daemon) servePlain(w http.ResponseWriter, r *http.Request, c *caller) *problem.Problem {
-	if p := d.refuseWhileDraining(c); p != nil {
-		return p
+func (o *orders) put(q plainCall) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.calls == nil {
+		o.calls = map[string]plainCall{}
 	}
-	s := c.view.Index.Service(r.PathValue("service"))
-	if s == nil || s.Kind != config.ServiceKindPlain {
-		return problem.New(problem.UnknownService, "service %q is not configured", r.PathValue("service"))
+	o.calls[q.id] = q
+}
+
+func (o *orders) get(id string) (plainCall, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	q, ok := o.calls[id]
+	return q, ok
+}
+
+func (o *orders) drop(id string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.calls, id)
+}
+
+// storedOrder is what the ledger compares when a key is sent again. Headers such
+// as User-Agent differ between the libraries that one organisation uses.
+type storedOrder struct {
+	Method      string
+	Path        string
+	ContentType string
+	Body        []byte
+}
+
+// serveOrder runs a keyed call that must not be repeated through the ledger.
+func (d *Daemon) serveOrder(w http.ResponseWriter, r *http.Request, c *caller, q plainCall) *problem.Problem {
+	reg := d.registrar.Load()
+	if reg == nil {
+		return ledgerStarting()
 	}
-	if _, _, p := rankOf(c, r, s); p != nil {
+	shard := ledger.ShardOf(q.organisation, q.key, reg.Shards)
+	if owner, p := d.ownerOf(r.Context(), reg, shard); p != nil {
 		return p
+	} else if owner != d.Settings.Daemon {
+		return d.forward(w, r, c, owner, q.call.Body, func() { reg.Forget(shard) })
 	}
-	if key := r.Header.Get("Idempotency-Key"); len(key) > maxKeyBytes {
-		return problem.New(problem.KeyTooLong, "Idempotency-Key has %d bytes; the limit is %d", len(key), maxKeyBytes)
+	request, err := cbor.Marshal(storedOrder{
+		Method: q.call.Method, Path: q.call.Path, ContentType: q.call.Header.Get("Content-Type"), Body: q.call.Body,
+	})
+	if err != nil {
+		return problem.New(problem.Internal, "encode order: %v", err)
 	}
-	limit := int64(defaultPlainBytes)
-	if s.BodyLimitBytes > 0 {
-		limit = int64(s.BodyLimitBytes)
+	d.orders.put(q)
+	result, err := reg.Submit(r.Context(), registrar.Submission{
+		Organisation: q.organisation, Key: q.key, Kind: ledger.Order, Service: q.service.Name,
+		RequestID: q.id, Request: request, Lookup: q.service.LookupPath != "",
+	})
+	d.orders.drop(q.id)
+	if err != nil {
+		return asProblem(err)
 	}
-	body, p := readBody(w, r, limit)
-	if p != nil {
+	return writeStored(w, result.Response)
+}
+
+func ledgerStarting() *problem.Problem {
+	p := problem.New(problem.LedgerUnavailable, "the ledger has not started")
+	p.RetryAfter = time.Second
+	return p
+}
+
+// asProblem returns the problem within an error.
+func asProblem(err error) *problem.Problem {
+	var p *problem.Problem
+	if errors.As(err, &p) {
 		return p
 	}
-	call := service.Call{
-		Method: r.Method, Path: strings.TrimPrefix(r.URL.RequestURI(), "/services/"+s.Name),
-		Header: passedHeaders(r.Header), Body: body, Timeout: serviceTimeout(s),
+	return problem.New(problem.Internal, "%v", err)
+}
+
+// ownerOf returns the daemon that holds a shard. When none is known, the first
+// candidate serves the request and takes the shard over.
+func (d *Daemon) ownerOf(ctx context.Context, reg *registrar.Registrar, shard int) (string, *problem.Problem) {
+	owner, err := reg.Owner(ctx, shard)
+	switch {
+	case err == nil && (owner == d.Settings.Daemon || d.alive(owner)):
+		return owner, nil
+	case err == nil:
+		reg.Forget(shard)
+		reg.Wake()
+	case !errors.Is(err, errors.NotFound):
+		p := problem.New(problem.LedgerUnavailable, "holder of the ledger shard is not known: %v", err)
+		p.RetryAfter = time.Second
+		return "", p
 	}
-	a, p := d.callPlain(r, c, s, call)
-	if p != nil {
-		return p
+	p := problem.New(problem.LedgerUnavailable, "the ledger shard is being taken over")
+	p.RetryAfter = time.Second
+	return "", p
+}
+
+// writeStored sends a response that the ledger holds.
+func writeStored(w http.ResponseWriter, response []byte) *problem.Problem {
+	var a service.Answer
+	if err := cbor.Unmarshal(response, &a); err != nil {
+		return problem.New(problem.Internal, "stored response cannot be read: %v", err)
 	}
-	writeAnswer(w, a)
+	writeAnswer(w, &a)
 	return nil
 }
 
-func passedHeaders(h http.Header) http.Header {
-	passed := h.Clone()
-	for _, name := range hopHeaders {
-		passed.Del(name)
+// Dispatch runs an order or a draft for the ledger.
+func (d *Daemon) Dispatch(ctx context.Context, l ledger.Dispatch) ledger.Outcome {
+	if l.Kind == ledger.Draft {
+		return d.dispatchDraft(ctx, l)
+	}
+	q, ok := d.orders.get(l.RequestID)
+	if !ok {
+		return ledger.Outcome{Ran: problem.NotRun, Problem: problem.New(problem.Internal, "the call of the order is gone")}
+	}
+	a, p := d.callPlain(ctx, q)
+	if p != nil {
+		return ledger.Outcome{Ran: problem.Of(p.Kind).Ran, Problem: p}
+	}
+	response, err := cbor.Marshal(a)
+	if err != nil {
+		return ledger.Outcome{Ran: problem.Unknown}
 	}
-	return passed
+	return ledger.Outcome{Ran: problem.HasRun, Response: response}
 }
 
-// callPlain runs a call at one backend server. A second server is tried only
-// when the first certainly did not get the call.
-func (d *Daemon) callPlain(r *http.Request, c *caller, s *config.Service, call service.Call) (*service.Answer, *problem.Problem) {
-	tried := map[string]bool{}
-	for attempt := 1; attempt <= maxAttempts; attempt++ {
-		server, ok := d.route(c.id, s.Name, attempt, tried)
-		if !ok {
-			return nil, noCapacity(s.Name)
+// Lookup asks a plain service for the outcome of a key.
+func (d *Daemon) Lookup(ctx context.Context, l ledger.Lookup) ([]byte, bool) {
+	v := d.view.Load()
+	s := v.Index.serviceOf(l.Service)
+	if s == nil || s.LookupPath == "" {
+		return nil, false
+	}
+	for _, server := range v.Table.Servers(l.Service) {
+		if !server.Accepting || server.Suspect {
+			continue
 		}
-		tried[server.ID] = true
-		d.flights.begin(server.ID)
-		a, err := d.Order.Do(r.Context(), server.Address, call)
-		d.flights.end(server.ID)
-		switch {
-		case err == nil:
-			return a, nil
-		case errors.Is(err, service.ErrNotStarted):
-			d.Log.Info("attempt failed", "RequestID", c.id, "Attempt", attempt, "Server", server.ID, "Error", err.Error())
+		a, err := d.Service.LookUp(ctx, server.Address, s.LookupPath, l.Key, serviceTimeout(s))
+		if err != nil {
 			continue
-		case errors.Is(err, service.ErrTooLarge):
-			return nil, problem.New(problem.BackendFailed, "%v", err)
 		}
-		return nil, problem.New(problem.OutcomeUnknown, "backend server did not answer: %v", err)
+		if a == nil {
+			return nil, false
+		}
+		response, err := cbor.Marshal(a)
+		return response, err == nil
 	}
-	return nil, noCapacity(s.Name)
+	return nil, false
 }
 
-func writeAnswer(w http.ResponseWriter, a *service.Answer) {
-	for name, values := range passedHeaders(a.Header) {
-		w.Header()[name] = values
-	}
-	w.Header().Del("Content-Length")
-	w.WriteHeader(a.Status)
-	_, _ = w.Write(a.Body) // A caller that has gone needs no answer.
-}
+var _ registrar.Dispatcher = (*Daemon)(nil)
