--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -29,6 +29,10 @@
 	maxAnswerBytes = 16 << 20
 	// maxProblemBytes bounds an error answer.
 	maxProblemBytes = 1 << 20
+	// maxUnknown bounds how often a keyed call is sent again after a daemon has said
+	// that its outcome is unknown. The daemons never run it again; they may find the
+	// outcome when another one answers, or by look-up.
+	maxUnknown = 2
 	// jitterShare spreads the callers that were told the same Retry-After over half
 	// as long again.
 	jitterShare = 0.5
@@ -137,6 +141,7 @@
 	c.budget.deposit()
 	wait := newBackoff()
 	tried := map[string]bool{}
+	unknown := 0
 	for attempt := 1; ; attempt++ {
 		entry, ok := c.pick(ctx, tried)
 		p := problem.New(problem.NoCapacity, "no entry can be reached")
@@ -148,7 +153,10 @@
 				return res, entry, nil
 			}
 		}
-		if !mayRepeat(p, q) || attempt >= c.attempts() || ctx.Err() != nil {
+		if p.Kind == problem.OutcomeUnknown && p.RequestID != "" {
+			unknown++
+		}
+		if !mayRepeat(p, q) || unknown > maxUnknown || attempt >= c.attempts() || ctx.Err() != nil {
 			return nil, "", p
 		}
 		if failover && c.untried(tried) {
@@ -185,7 +193,7 @@
 // mayRepeat reports whether a request may be sent again after a problem.
 func mayRepeat(p *problem.Problem, q request) bool {
 	row := problem.Of(p.Kind)
-	return row.Ran == problem.NotRun && row.ComeBack || p.Kind == problem.OutcomeUnknown && p.RequestID == "" && q.repeatable
+	return row.Ran == problem.NotRun && row.ComeBack || p.Kind == problem.OutcomeUnknown && q.repeatable
 }
 
 // attempt sends a request to one entry. A problem with failover set may be tried
--- a/pkg/caller/stream.go
+++ b/pkg/caller/stream.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -8,6 +9,7 @@
 	"net/url"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -248,7 +250,30 @@
 		return err
 	}
 	s.resumed++
-	s.open(res.Body)
+	if !strings.HasPrefix(res.Header.Get("Content-Type"), "application/json") {
+		s.open(res.Body)
+		return nil
+	}
+	return s.openWhole(res)
+}
+
+// openWhole reads a finished draft, of which the daemons keep the text but not
+// its tokens, as a stream of one token.
+func (s *Stream) openWhole(res *http.Response) error {
+	a, p := readWhole(res, s.entry)
+	if p != nil {
+		return p
+	}
+	if s.last > 0 {
+		p := problem.New(problem.NotFound, "the tokens after %d are no longer kept; fetch the whole answer", s.last)
+		p.RequestID = s.id
+		return p
+	}
+	var line bytes.Buffer
+	if err := json.Compact(&line, a.Body); err != nil {
+		return problem.New(problem.Internal, "answer of request %s is not JSON", s.id)
+	}
+	s.open(io.NopCloser(strings.NewReader("id: 1\ndata: " + line.String() + "\n\ndata: [DONE]\n\n")))
 	return nil
 }
 
@@ -290,8 +315,12 @@
 }
 
 // final reports whether a problem is that with which the request ended. Those of
-// an entry that doesn't have the request, or has no configuration yet, are not,
-// and neither are those of this client, which have no request id.
+// an entry that doesn't have the request or can't find who has it are not, and
+// neither are those of this client, which have no request id.
 func final(p *problem.Problem) bool {
-	return p.RequestID != "" && p.Kind != problem.NotFound && p.Kind != problem.NoCapacity && p.Kind != problem.Draining
+	switch p.Kind {
+	case problem.NotFound, problem.NoCapacity, problem.Draining, problem.LedgerUnavailable:
+		return false
+	}
+	return p.RequestID != ""
 }
--- a/pkg/caller/stream_test.go
+++ b/pkg/caller/stream_test.go
@@ -122,6 +122,7 @@
 		"never whole":      {script: slices.Repeat([]http.HandlerFunc{part("data")}, 100), want: "a", kind: problem.OutcomeUnknown},
 		"forgotten":        {script: append([]http.HandlerFunc{part("data")}, slices.Repeat([]http.HandlerFunc{refuse(problem.NotFound, 0)}, 100)...), want: "a", kind: problem.NotFound},
 		"ended meanwhile":  {script: []http.HandlerFunc{part("data"), refuse(problem.Poisonous, 0)}, want: "a", kind: problem.Poisonous},
+		"shard taken over": {script: []http.HandlerFunc{part("data"), refuse(problem.LedgerUnavailable, 0), part("data: [DONE]\n\n")}, want: "a"},
 		"refused at first": {script: []http.HandlerFunc{refuse(problem.UnknownModel, 0)}, kind: problem.UnknownModel},
 		"lost at first":    {script: []http.HandlerFunc{drop, part("data: [DONE]\n\n")}, want: "a"},
 	} {
@@ -149,7 +150,11 @@
 	whole := func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = io.WriteString(w, `{"id":"r1","model":"m","choices":[{"message":{"role":"assistant","content":"hello"},"finish_reason":"stop"}],"usage":{"prompt_tokens":3,"completion_tokens":1}}`)
 	}
-	other := newEntry(t, refuse(problem.NotFound, 0), whole, whole, whole)
+	finished := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		whole(w, r)
+	}
+	other := newEntry(t, refuse(problem.NotFound, 0), whole, whole, finished)
 	moved := func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Location", "http://"+other.address()+"/v1/requests/r1")
 		w.WriteHeader(http.StatusAccepted)
@@ -171,6 +176,16 @@
 	if got, err = client.await(t.Context(), draft.ID, other.address()); err != nil || got.Text != "hello" {
 		t.Errorf("completion is %+v, error %v", got, err)
 	}
+	client.Entries = []string{other.address()}
+	client.directory.set([]string{other.address()}, time.Now().Add(time.Minute))
+	stream, err := client.Follow(t.Context(), draft.ID, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stream.Close()
+	if got, err := text(stream); err != nil || got != "hello" {
+		t.Errorf("a finished draft is followed as %q, error %v", got, err)
+	}
 }
 
 // FuzzEventReader guards against panics, unbounded memory, and events that depend
--- a/pkg/config/semantics.go
+++ b/pkg/config/semantics.go
@@ -10,8 +10,8 @@
 )
 
 // maxCrashes keeps the promise that one request costs at most three backend
-// servers.
-const maxCrashes = 3
+// servers: the first crash makes it a suspect, and the limit counts those after it.
+const maxCrashes = 2
 
 // floorTolerance allows for rounding when floors such as 0.1 are added up.
 const floorTolerance = 1e-9
@@ -228,6 +228,6 @@
 	}
 	s.positive(q.Expiry, "Quarantine", "Expiry")
 	if q.Crashes > maxCrashes {
-		s.report([]any{"Quarantine", "Crashes"}, "limit %d lets one request crash more than %d backend servers", q.Crashes, maxCrashes)
+		s.report([]any{"Quarantine", "Crashes"}, "limit %d lets one request crash more than %d backend servers", q.Crashes, maxCrashes+1)
 	}
 }
