document: leave values that miss a pattern out of faults

An operator who wrote a bearer token where its hash belongs saw the token in the fault, and a daemon that refused the configuration wrote it to its log.

--- a/internal/document/schema.go
+++ b/internal/document/schema.go
@@ -83,6 +83,9 @@
 		if k.Want == durationPattern {
 			return fmt.Sprintf("%q is not a time span such as \"1.9s\"", k.Got)
 		}
+		// The value is left out because it may be a credential, such as a token where
+		// its hash belongs, and daemons log the faults of a configuration.
+		return "does not match the pattern " + k.Want
 	case *kind.Minimum:
 		return "must be at least " + k.Want.RatString()
 	case *kind.ExclusiveMinimum:
--- a/pkg/config/check_test.go
+++ b/pkg/config/check_test.go
@@ -50,7 +50,12 @@
 			`12:60: Ranks[1].BetweenTokens: must be longer than zero`,
 		},
 		"floors.jsonc": {`12:71: Ranks[1].Floor: floors add up to 1.1, which is over 1`},
-		"tokens.jsonc": {`20:56: Organisations[1].TokenHashes[0]: token hash is already used by organisation "export"`},
+		// A token in the place of its hash must not be repeated, because faults are
+		// logged.
+		"tokens.jsonc": {
+			`20:56: Organisations[1].TokenHashes[0]: token hash is already used by organisation "export"`,
+			`21:54: Organisations[2].TokenHashes[0]: does not match the pattern ^[0-9a-f]{64}$`,
+		},
 		"orders.jsonc": {
 			`16:100: Services[1].LookupPath: path "/orders/key" must start with / and contain {Key}`,
 			`22:27: Ledger.Retention: retention 30s is not longer than the timeout 30s of Services[1], whose calls must not be repeated`,
