entry: let adoption decide which configuration is in force

Cause: each daemon took any higher revision and pushed it to all its peers. Adoption pushes to near peers with fan-out 4, fetches from others after a spread, reads at the key-value service to confirm, polls when no peer shows anything, and raises an alarm for a revision that can't be parsed. The limits of the quarantine list now follow the configuration as well.

Run: go test -race ./...: all pass but TestSlowReader of internal/peer, which failed once with the machine loaded and passed three times alone.

--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -9,11 +9,12 @@
 	"apricotbridge/internal/routing"
 )
 
-// Configure puts new ranks and organisations in force.
-func (d *Dispatcher) Configure(ranks []admission.Rank, organisations []admission.Organisation) {
+// Configure puts new ranks, organisations and quarantine limits in force.
+func (d *Dispatcher) Configure(ranks []admission.Rank, organisations []admission.Organisation, limits quarantine.Options) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.Queue.Configure(ranks, organisations)
+	d.Quarantine.Configure(limits)
 }
 
 // Report records a server's load as of the given time.
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -5,10 +5,10 @@
 	"slices"
 	"time"
 
+	"apricotbridge/internal/adoption"
 	"apricotbridge/internal/instances"
 	"apricotbridge/internal/membership"
 	"apricotbridge/internal/routing"
-	"apricotbridge/pkg/config"
 )
 
 // controlTick is the period of the work that depends on time alone.
@@ -30,9 +30,8 @@
 	// suspicion is when the next suspicion ends.
 	suspicion time.Time
 	exchange  exchange
-	// text is the configuration in force as it was applied.
-	text []byte
-	view View
+	adoption  adoption.State
+	view      View
 }
 
 // post hands an event to the control goroutine and waits while its queue is full.
@@ -77,7 +76,7 @@
 func newControlState(d *Daemon) *controlState {
 	return &controlState{
 		d: d, daemons: membership.Daemons{Self: d.self()},
-		prices: map[string]float64{}, ends: map[string]time.Time{},
+		prices: map[string]float64{}, ends: map[string]time.Time{}, adoption: newAdoption(d),
 	}
 }
 
@@ -100,6 +99,7 @@
 func (c *controlState) tick(now time.Time) {
 	c.changed(now, c.members.Tick(now))
 	c.daemons.Tick(now)
+	c.act(c.adoption.Tick(now))
 	c.gossip(now)
 	if !c.suspicion.IsZero() && now.After(c.suspicion) {
 		c.stale, c.suspicion = true, time.Time{}
@@ -136,14 +136,6 @@
 	return clone
 }
 
-// adopt takes over a configuration that adoption has accepted.
-func (c *controlState) adopt(revision int64, parsed *config.Configuration) {
-	c.view.Revision, c.view.Index = revision, NewIndex(parsed)
-	c.d.dispatcher.Configure(c.view.Index.admissionRanks(), c.view.Index.admissionOrganisations())
-	c.stale = true
-	c.d.Log.Info("configuration adopted", "Revision", revision)
-}
-
 // listed takes an answer of the instance list.
 func (c *controlState) listed(now, called time.Time, list instances.List) {
 	taken := called
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -95,6 +95,7 @@
 	view       atomic.Pointer[View]
 	start      int64
 	events     chan event
+	reads      chan struct{}
 	ready      chan struct{}
 	draining   chan struct{}
 	drained    chan struct{}
@@ -132,6 +133,7 @@
 		Order:     &service.Client{HTTP: order},
 		start:     time.Now().UnixNano(),
 		events:    make(chan event, 1024),
+		reads:     make(chan struct{}, 1),
 		ready:     make(chan struct{}),
 		draining:  make(chan struct{}),
 		drained:   make(chan struct{}),
@@ -185,7 +187,8 @@
 	server := d.callerServer()
 	t := newTasks(ctx)
 	t.start("control", d.control)
-	t.start("configuration", d.followConfiguration)
+	t.start("configuration", d.watchConfiguration)
+	t.start("configuration reads", d.readConfiguration)
 	t.start("instance list", d.followInstances)
 	t.start("registration", d.register)
 	t.start("engine polls", d.pollEngines)
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -46,43 +46,6 @@
 	Draining        bool   `json:"Draining,omitempty"`
 }
 
-// followConfiguration reads the configuration and waits for newer ones.
-func (d *Daemon) followConfiguration(ctx context.Context) error {
-	wait := newBackoff()
-	after := int64(0)
-	for ctx.Err() == nil {
-		if !d.view.Load().Relay {
-			sleep(ctx, pollPeriod)
-			continue
-		}
-		if after == 0 {
-			e, err := d.KeyValue.Get(ctx, ConfigurationKey)
-			switch {
-			case err == nil:
-				d.post(ctx, func(c *controlState, now time.Time) { c.offer(now, e.Revision, e.Value, fromKeyValue, "") })
-				after = e.Revision
-			case !errors.Is(err, keyvalue.ErrNotFound):
-				d.Log.V(1).Info("configuration not read", "Error", err.Error())
-				sleep(ctx, wait.NextBackOff())
-				continue
-			}
-		}
-		entries, revision, err := d.KeyValue.Watch(ctx, ConfigurationKey, after)
-		if err != nil {
-			sleep(ctx, wait.NextBackOff())
-			continue
-		}
-		wait.Reset()
-		after = max(after, revision)
-		for _, e := range entries {
-			if e.Key == ConfigurationKey && !e.Deleted {
-				d.post(ctx, func(c *controlState, now time.Time) { c.offer(now, e.Revision, e.Value, fromKeyValue, "") })
-			}
-		}
-	}
-	return ctx.Err()
-}
-
 // followInstances reads the instance list.
 func (d *Daemon) followInstances(ctx context.Context) error {
 	for ctx.Err() == nil {
--- a/internal/entry/gossip.go
+++ b/internal/entry/gossip.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"apricotbridge/internal/admission"
+	"apricotbridge/internal/adoption"
 	"apricotbridge/internal/membership"
 	"apricotbridge/internal/message"
 	"apricotbridge/internal/peer"
@@ -94,8 +95,9 @@
 		targets = append(targets, peer.Target{Address: address})
 	}
 	c.d.hub.Keep(targets)
+	c.linkAdoption()
 	send(c, "", message.KindDigest, message.Digest{
-		Revision: c.view.Revision, Members: c.members.Hash(), Quarantine: c.d.dispatcher.SuspectsHash(), Draining: c.view.Draining,
+		Revision: c.adoption.Shown(), Members: c.members.Hash(), Quarantine: c.d.dispatcher.SuspectsHash(), Draining: c.view.Draining,
 	})
 	c.pushSuspects()
 	c.shareUsage(now)
@@ -116,10 +118,6 @@
 	}
 }
 
-func (c *controlState) pushConfiguration() {
-	send(c, "", message.KindConfiguration, message.Configuration{Revision: c.view.Revision, Value: c.text})
-}
-
 func (c *controlState) pushMembers(changes []membership.Change) {
 	m := message.Members{}
 	for _, change := range changes {
@@ -190,7 +188,13 @@
 		handle(d, e, func(c *controlState, now time.Time, m message.Digest) { c.compare(now, from, m) })
 	case message.KindConfiguration:
 		handle(d, e, func(c *controlState, now time.Time, m message.Configuration) {
-			c.offer(now, m.Revision, m.Value, fromPeer, from.Daemon)
+			c.offer(now, adoption.Revision{Number: m.Revision, Value: m.Value}, adoption.Source{Kind: adoption.Push, Peer: from.Daemon})
+		})
+	case message.KindFetch:
+		handle(d, e, func(c *controlState, _ time.Time, _ message.Fetch) {
+			held := c.adoption.Held()
+			m := message.Configuration{Revision: held.Number, Value: held.Value}
+			c.answered(from.Daemon, peer.Send(c.d.hub, from.Daemon, message.KindConfiguration, m))
 		})
 	case message.KindMembers:
 		handle(d, e, func(c *controlState, now time.Time, m message.Members) { c.mergeMembers(now, m) })
@@ -224,29 +228,19 @@
 	if c.daemons.Heard(now, other) {
 		send(c, from.Daemon, message.KindMembers, message.Members{Daemons: []message.Daemon{other.Message()}})
 	}
-	if m.Revision < c.view.Revision {
-		c.answer(from.Daemon, message.KindConfiguration, message.Configuration{Revision: c.view.Revision, Value: c.text})
-	}
+	c.offer(now, adoption.Revision{Number: m.Revision}, adoption.Source{Kind: adoption.Digest, Peer: from.Daemon})
 	if m.Members != c.members.Hash() {
 		c.repairMembers(now, from.Daemon)
 	}
 	if entries, hash := c.d.dispatcher.Suspects(); m.Quarantine != hash && len(entries) > 0 {
-		c.answer(from.Daemon, message.KindQuarantine, message.Quarantine{Suspects: entries})
+		c.answered(from.Daemon, peer.Send(c.d.hub, from.Daemon, message.KindQuarantine, message.Quarantine{Suspects: entries}))
 	}
 }
 
-func (c *controlState) answer(peerID string, kind message.Kind, body any) {
-	var err error
-	switch body := body.(type) {
-	case message.Configuration:
-		err = peer.Send(c.d.hub, peerID, kind, body)
-	case message.Members:
-		err = peer.Send(c.d.hub, peerID, kind, body)
-	case message.Quarantine:
-		err = peer.Send(c.d.hub, peerID, kind, body)
-	}
+// answered logs a message that could not be queued for a peer.
+func (c *controlState) answered(peerID string, err error) {
 	if err != nil {
-		c.d.Log.V(1).Info("repair not sent", "Peer", peerID, "Error", err.Error())
+		c.d.Log.V(1).Info("message not sent", "Peer", peerID, "Error", err.Error())
 	}
 }
 
@@ -272,7 +266,7 @@
 		}
 	}
 	if len(m.Members)+len(m.Daemons) > 0 {
-		c.answer(peerID, message.KindMembers, m)
+		c.answered(peerID, peer.Send(c.d.hub, peerID, message.KindMembers, m))
 	}
 }
 
--- a/internal/entry/index.go
+++ b/internal/entry/index.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"apricotbridge/internal/admission"
+	"apricotbridge/internal/quarantine"
 	"apricotbridge/pkg/config"
 )
 
@@ -114,6 +115,15 @@
 	return organisations
 }
 
+// quarantineLimits returns the limits of the quarantine list.
+func (x *Index) quarantineLimits() quarantine.Options {
+	q := x.Config.Quarantine
+	if q == nil {
+		return quarantine.Options{}
+	}
+	return quarantine.Options{Crashes: q.Crashes, Expiry: q.Expiry.Or(0)}
+}
+
 // allows reports whether a list of names permits one; an empty list permits all.
 func allows(list []string, name string) bool {
 	return len(list) == 0 || slices.Contains(list, name)
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -22,6 +22,7 @@
 	Draining      bool            `json:"Draining"`
 	Revision      int64           `json:"Revision"`
 	Confirmed     string          `json:"Confirmed"`
+	Alarm         string          `json:"Alarm,omitempty"`
 	Queued        int             `json:"Queued"`
 	Running       int             `json:"Running"`
 	Counts        dispatch.Counts `json:"Counts"`
@@ -105,7 +106,7 @@
 	work := d.dispatcher.Status(now)
 	s := Status{
 		Daemon: d.Settings.Daemon, Region: d.Settings.Region, Place: d.Settings.Place, CallerAddress: d.addrs.caller,
-		Draining: v.Draining, Revision: v.Revision, Confirmed: v.Confirmed, Queued: work.Queue.Queued,
+		Draining: v.Draining, Revision: v.Revision, Confirmed: v.Confirmed, Alarm: v.Alarm, Queued: work.Queue.Queued,
 		Running: work.Queue.Running, Counts: work.Counts,
 	}
 	for _, f := range work.Queue.Flows {
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -16,8 +16,10 @@
 type View struct {
 	// Revision is the configuration revision in force; 0 means none yet.
 	Revision int64
-	// Confirmed says how sure the revision is.
+	// Confirmed says how sure the revision is, and Alarm why a newer one is not in
+	// force.
 	Confirmed string
+	Alarm     string
 	Index     *Index
 	Members   []membership.Member
 	Table     *routing.Table
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -123,27 +123,35 @@
 	at     time.Time
 }
 
-// New returns an empty list.
-func New(options Options) *List {
-	if options.Crashes <= 0 {
-		options.Crashes = defaultCrashes
+// withDefaults fills in the settings that are zero.
+func (o Options) withDefaults() Options {
+	if o.Crashes <= 0 {
+		o.Crashes = defaultCrashes
 	}
-	if options.Expiry <= 0 {
-		options.Expiry = defaultExpiry
+	if o.Expiry <= 0 {
+		o.Expiry = defaultExpiry
 	}
-	if options.Settle <= 0 {
-		options.Settle = defaultSettle
+	if o.Settle <= 0 {
+		o.Settle = defaultSettle
 	}
-	if options.Size <= 0 {
-		options.Size = defaultSize
+	if o.Size <= 0 {
+		o.Size = defaultSize
 	}
+	return o
+}
+
+// New returns an empty list.
+func New(options Options) *List {
 	return &List{
-		options: options,
+		options: options.withDefaults(),
 		entries: make(map[Fingerprint]*entry),
 		running: make(map[Fingerprint]int),
 	}
 }
 
+// Configure puts new settings in force for the entries of the list as well.
+func (l *List) Configure(options Options) { l.options = options.withDefaults() }
+
 // Owner returns the daemon that runs the suspects of a service, by rendezvous hashing
 // over the live daemons. Others forward suspects to it, together with their entries.
 func Owner(service string, daemons []string) string {
--- a/pkg/config/config_gen.go
+++ b/pkg/config/config_gen.go
@@ -129,7 +129,7 @@
 
 // Quarantine states when a request is refused for good.
 type Quarantine struct {
-	// Crashes after which a request is refused; default 2.
+	// Crashes after the first one at which a request is refused; default 2.
 	Crashes int `json:"Crashes,omitempty,omitzero"`
 
 	// How long an entry is kept after its last crash; default 1h.
