ledger: give the callers of a draft its whole response

Cause: a response over 256 KB is not kept, and the callers that waited for the draft got OutcomeUnknown although the holder had the response.

Conclusion: only a later repeat of such a key is answered OutcomeUnknown.

--- a/internal/ledger/commit.go
+++ b/internal/ledger/commit.go
@@ -226,7 +226,8 @@
 		s.dispatch(e, false)
 	case e.step == recording:
 		e.step = settled
-		s.settle(e, doneResult(e.record))
+		s.settle(e, Result{Response: e.response})
+		e.response = nil
 	}
 }
 
--- a/internal/ledger/run.go
+++ b/internal/ledger/run.go
@@ -66,7 +66,7 @@
 		return
 	}
 	if s.Holds() {
-		e.step = recording
+		e.step, e.response = recording, response
 		s.append(e, next(e, Done, response))
 	}
 }
--- a/internal/ledger/shard.go
+++ b/internal/ledger/shard.go
@@ -128,7 +128,9 @@
 	segment   string
 	// request is the body of an order until it is dispatched.
 	request []byte
-	waiters []Submit
+	// response is the whole response of a draft until it is committed.
+	response []byte
+	waiters  []Submit
 	// abandoned says that the submission was refused while its commit was
 	// uncertain, so that it is never dispatched.
 	abandoned bool
