registrar: count the silence of a holder anew after an outage

Cause: a holder cannot write its tail while the key-value service is away, so after an outage longer than the lease each candidate took over a live shard. The orders in flight then became OutcomeUnknown for a repeat. A failed look at the tail now restarts the count. Wake reads the workers under the lock.

Ruled out: a longer lease, because it delays every takeover.

Checked: TestFleet passes with -race; it has no outage longer than its lease, so this case is not covered by a test.

Conclusion: a holder has a whole lease after an outage to write its tail.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -235,10 +235,10 @@
 // Wake makes all shards look at their tails now, for example because a daemon is
 // known to be gone.
 func (r *Registrar) Wake() {
-	for shard := range r.Shards {
-		if w := r.worker(shard); w != nil {
-			w.wakeUp()
-		}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, w := range r.workers {
+		w.wakeUp()
 	}
 }
 
--- a/internal/registrar/worker.go
+++ b/internal/registrar/worker.go
@@ -326,6 +326,11 @@
 // those before it.
 func (w *worker) look(ctx context.Context, now time.Time, o observed) {
 	place := w.registrar.Candidate(w.shardID)
+	if o.failed {
+		// A holder cannot write either while the service is away, so its silence
+		// counts anew.
+		w.unchanged = time.Time{}
+	}
 	if o.failed || w.draining || w.trying || w.shard.Holds() || place < 0 {
 		return
 	}
