ledger: bound the retry wait by half of the heartbeat

Cause: with a lease under 15 s a holder could wait longer after an outage than its silence is tolerated, and was taken over although it was alive.

Conclusion: no change at the default heartbeat of 10 s.

--- a/internal/ledger/run.go
+++ b/internal/ledger/run.go
@@ -82,7 +82,7 @@
 }
 
 func (s *Shard) backoff(failures int) time.Duration {
-	d := min(longestRetry, firstRetry<<min(failures-1, 8))
+	d := min(longestRetry, s.config.Heartbeat/2, firstRetry<<min(failures-1, 8))
 	return d/2 + time.Duration(s.config.Rand.Float64()*float64(d/2))
 }
 
--- a/internal/ledger/shard.go
+++ b/internal/ledger/shard.go
@@ -53,8 +53,8 @@
 	// outcomeWait bounds the wait of an outcome for a group with an intent. Until
 	// then the death of the holder makes an answered order OutcomeUnknown.
 	outcomeWait = 200 * time.Millisecond
-	// firstRetry and longestRetry bound the wait after a refused call. The maximum is
-	// below the heartbeat, so that a holder returns before it is taken over.
+	// firstRetry and longestRetry bound the wait after a refused call. Half of the
+	// heartbeat bounds it as well, so that a holder returns before it is taken over.
 	firstRetry   = 250 * time.Millisecond
 	longestRetry = 5 * time.Second
 )
