registrar: test when a silent holder is replaced

Cause: the restart of the count after an outage was not covered.

Conclusion: covered without a wait on the wall clock.

--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -8,9 +8,11 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
 	"go.uber.org/goleak"
 
+	"apricotbridge/internal/keyvalue"
 	"apricotbridge/internal/ledger"
 	"apricotbridge/internal/standin"
 	"apricotbridge/pkg/problem"
@@ -39,6 +41,42 @@
 
 func (b *backend) Lookup(context.Context, ledger.Lookup) ([]byte, bool) { return nil, false }
 
+// TestLook guards against the takeover of a live holder, early or after an outage,
+// and against a silent holder that is never replaced.
+func TestLook(t *testing.T) {
+	r := &Registrar{Daemon: "d", Store: standin.NewKeyValue(1), Lease: 30 * time.Second}
+	r.defaults()
+	value, err := cbor.Marshal(ledger.Tail{Holder: "other", Fence: 7})
+	if err != nil {
+		t.Fatal(err)
+	}
+	seen := observed{entry: keyvalue.Entry{Key: ledger.TailKey(0), Value: value, Revision: 3}}
+	moved := seen
+	moved.entry.Revision = 4
+	w := newWorker(r, 0)
+	start := time.Now()
+	for _, step := range []struct {
+		at    time.Duration
+		tail  observed
+		takes bool
+	}{
+		{0, seen, false},
+		{29 * time.Second, seen, false},
+		{31 * time.Second, moved, false},
+		{50 * time.Second, observed{failed: true}, false},
+		{70 * time.Second, moved, false}, // The outage may have kept the holder silent.
+		{99 * time.Second, moved, false},
+		{101 * time.Second, moved, true},
+	} {
+		w.look(context.Background(), start.Add(step.at), step.tail)
+		if w.trying != step.takes {
+			t.Errorf("after %v: takes over is %v, want %v", step.at, w.trying, step.takes)
+		}
+	}
+	close(w.done)
+	w.calls.Wait()
+}
+
 // fleet is a set of daemons that share a key-value service.
 type fleet struct {
 	t       *testing.T
