--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -72,6 +72,12 @@
 	Kind Kind `json:"Kind"`
 }
 
+// Fetch asks the receiver for its configuration.
+type Fetch struct {
+	// Revision that the sender has; the receiver answers with a higher one only.
+	Above int64 `json:"Above"`
+}
+
 // Forward asks the receiver to serve a request whose ledger shard or stream it
 // holds.
 type Forward struct {
@@ -220,6 +226,7 @@
 const KindCancel Kind = "Cancel"
 const KindConfiguration Kind = "Configuration"
 const KindDigest Kind = "Digest"
+const KindFetch Kind = "Fetch"
 const KindForward Kind = "Forward"
 const KindForwardAnswer Kind = "ForwardAnswer"
 const KindHandover Kind = "Handover"
@@ -297,6 +304,9 @@
 	// Daemon that served them.
 	Daemon string `json:"Daemon"`
 
+	// Estimated tokens of the offered requests.
+	Offered float64 `json:"Offered,omitempty,omitzero"`
+
 	// Organisation that they were served to.
 	Organisation string `json:"Organisation"`
 
@@ -314,7 +324,4 @@
 
 	// Tokens since the daemon started.
 	Tokens float64 `json:"Tokens"`
-
-	// Requests that wait.
-	Waiting int `json:"Waiting,omitempty,omitzero"`
 }
