demo, cmd: run a deployment on loopback and reclaim a data centre

Four daemons, nine engines and three order servers run in one process; 18 callers of three ranks check every answer.

Fetching a draft now says to come back. - The callers' library reported an order as not run after an earlier attempt whose answer was lost (TestLostAnswerBeforeRefusals fails without the change).

--- a/cmd/apricotbridge/main.go
+++ b/cmd/apricotbridge/main.go
@@ -53,7 +53,7 @@
 		SilenceErrors: true,
 		SilenceUsage:  true,
 	}
-	root.AddCommand(newServe(), newStandin())
+	root.AddCommand(newServe(), newStandin(), newDemo())
 	root.AddCommand(newCheck(), newApply(), newShow(), newDrain(), newRequest(), newVersion())
 	return root
 }
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -108,6 +108,7 @@
 	registrar atomic.Pointer[registrar.Registrar]
 	hub       *peer.Hub
 	handler   http.Handler
+	woken     atomic.Int64
 	orders    orders
 	transfers transfers
 	notices   noticeBoard
--- a/internal/entry/draft.go
+++ b/internal/entry/draft.go
@@ -120,7 +120,12 @@
 		Organisation: organisation, Key: key, Kind: ledger.Draft, RequestID: id, Join: true,
 	})
 	if err != nil {
-		return asProblem(err)
+		p := asProblem(err)
+		if p.Kind == problem.OutcomeUnknown || p.Kind == problem.Draining {
+			// The shard moves; the draft goes on at its next holder.
+			return notHere(p.Detail)
+		}
+		return p
 	}
 	return writeStored(w, result.Response)
 }
--- a/internal/entry/gossip.go
+++ b/internal/entry/gossip.go
@@ -225,6 +225,9 @@
 func (c *controlState) compare(now time.Time, from message.Hello, m message.Digest) {
 	other := daemonOf(from)
 	other.Draining = m.Draining
+	if reg := c.d.registrar.Load(); reg != nil && m.Draining {
+		reg.Wake() // It releases its shards.
+	}
 	if c.daemons.Heard(now, other) {
 		send(c, from.Daemon, message.KindMembers, message.Members{Daemons: []message.Daemon{other.Message()}})
 	}
--- a/internal/entry/order.go
+++ b/internal/entry/order.go
@@ -99,8 +99,8 @@
 	return problem.New(problem.Internal, "%v", err)
 }
 
-// ownerOf returns the daemon that holds a shard. When none is known, the first
-// candidate serves the request and takes the shard over.
+// ownerOf returns the daemon that holds a shard. When there is none, the shards
+// are told to look for one to take over, and the request comes back.
 func (d *Daemon) ownerOf(ctx context.Context, reg *registrar.Registrar, shard int) (string, *problem.Problem) {
 	owner, err := reg.Owner(ctx, shard)
 	switch {
@@ -108,8 +108,10 @@
 		return owner, nil
 	case err == nil:
 		reg.Forget(shard)
-		reg.Wake()
-	case !errors.Is(err, errors.NotFound):
+		d.wakeLedger(reg)
+	case errors.Is(err, errors.NotFound):
+		d.wakeLedger(reg)
+	default:
 		p := problem.New(problem.LedgerUnavailable, "holder of the ledger shard is not known: %v", err)
 		p.RetryAfter = time.Second
 		return "", p
@@ -119,6 +121,18 @@
 	return "", p
 }
 
+// ledgerWake bounds how often requests make the shards look at their tails.
+const ledgerWake = 250 * time.Millisecond
+
+// wakeLedger makes the shards of this daemon look for one to take over.
+func (d *Daemon) wakeLedger(reg *registrar.Registrar) {
+	now := time.Now().UnixNano()
+	last := d.woken.Load()
+	if now-last > int64(ledgerWake) && d.woken.CompareAndSwap(last, now) {
+		reg.Wake()
+	}
+}
+
 // writeStored sends a response that the ledger holds.
 func writeStored(w http.ResponseWriter, response []byte) *problem.Problem {
 	var a service.Answer
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -141,7 +141,7 @@
 	c.budget.deposit()
 	wait := newBackoff()
 	tried := map[string]bool{}
-	unknown := 0
+	unknown, mayHaveRun := 0, false
 	for attempt := 1; ; attempt++ {
 		entry, ok := c.pick(ctx, tried)
 		p := problem.New(problem.NoCapacity, "no entry can be reached")
@@ -156,22 +156,34 @@
 		if p.Kind == problem.OutcomeUnknown && p.RequestID != "" {
 			unknown++
 		}
+		mayHaveRun = mayHaveRun || problem.Of(p.Kind).Ran != problem.NotRun
 		if !mayRepeat(p, q) || unknown > maxUnknown || attempt >= c.attempts() || ctx.Err() != nil {
-			return nil, "", p
+			return nil, "", overall(p, mayHaveRun)
 		}
 		if failover && c.untried(tried) {
 			continue // The attempt did not reach a queue, so it costs no budget.
 		}
 		if !c.budget.withdraw() {
-			return nil, "", p
+			return nil, "", overall(p, mayHaveRun)
 		}
 		clear(tried)
 		if err := c.pause(ctx, p, wait); err != nil {
-			return nil, "", p
+			return nil, "", overall(p, mayHaveRun)
 		}
 	}
 }
 
+// overall returns the problem for all attempts of a request: one that was not run
+// at the last attempt may have run at an earlier one.
+func overall(p *problem.Problem, mayHaveRun bool) *problem.Problem {
+	if !mayHaveRun || problem.Of(p.Kind).Ran != problem.NotRun {
+		return p
+	}
+	o := problem.New(problem.OutcomeUnknown, "an earlier attempt may have run; the last one: %s", p.Error())
+	o.RequestID = p.RequestID
+	return o
+}
+
 // sendWhole sends a request and reads its answer. An answer that is cut off is
 // asked for again where the request may be repeated.
 func (c *Client) sendWhole(ctx context.Context, q request) (*Answer, error) {
--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -257,3 +257,31 @@
 		t.Errorf("40 clients sent %d and %d requests", len(a.requests()), len(b.requests()))
 	}
 }
+
+// Guards against a call that is reported as not run although an earlier attempt of
+// it may have run: the answer of the first attempt is lost, all later ones are
+// refused.
+func TestLostAnswerBeforeRefusals(t *testing.T) {
+	calls := 0
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v1/entries" {
+			http.NotFound(w, r)
+			return
+		}
+		if calls++; calls == 1 {
+			panic(http.ErrAbortHandler)
+		}
+		problem.New(problem.LedgerUnavailable, "away").Write(w)
+	}))
+	defer s.Close()
+	c := &Client{
+		Entries: []string{strings.TrimPrefix(s.URL, "http://")}, Token: "t", Seed: 1,
+		sleep: func(context.Context, time.Duration) error { return nil },
+	}
+	defer c.Close()
+	_, err := c.Call(t.Context(), Call{Service: "s", Method: http.MethodPost, Path: "/", Key: "k"})
+	var p *problem.Problem
+	if !errors.As(err, &p) || p.Kind != problem.OutcomeUnknown {
+		t.Errorf("%v, want OutcomeUnknown", err)
+	}
+}
