placement: let small instances be replaced by large ones, order sums

The sums of capacity by place ran over a map, whose order changes the last digit of a float and so could change orders between two runs of the same input.

Ruled out: a limit by the difference to the need, because the surplus is stopped after 5 minutes anyway.

--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -26,7 +27,46 @@
 	units []*unit
 	// total is the capacity without replaced units, byPlace the steady part of it.
 	total   float64
-	byPlace map[string]float64
+	byPlace capacities
+}
+
+// capacities has the capacity of each place, in the order in which places were
+// added. A map would add floats in a random order, so that equal inputs could give
+// different orders.
+type capacities []placeCapacity
+
+type placeCapacity struct {
+	place    string
+	capacity float64
+}
+
+func (c *capacities) add(place string, change float64) {
+	for i := range *c {
+		if (*c)[i].place == place {
+			(*c)[i].capacity += change
+			return
+		}
+	}
+	*c = append(*c, placeCapacity{place, change})
+}
+
+func (c capacities) of(place string) float64 {
+	for _, p := range c {
+		if p.place == place {
+			return p.capacity
+		}
+	}
+	return 0
+}
+
+// cover is what is left when the largest place is lost.
+func (c capacities) cover() float64 {
+	var total, most float64
+	for _, p := range c {
+		total += p.capacity
+		most = max(most, p.capacity)
+	}
+	return total - most
 }
 
 func (f *fleet) add(u *unit) {
@@ -36,7 +76,7 @@
 
 func (f *fleet) count(u *unit, sign float64) {
 	f.total += sign * u.capacity
-	f.byPlace[u.key.place] += sign * u.steady
+	f.byPlace.add(u.key.place, sign*u.steady)
 }
 
 // drop takes out a unit that stops.
@@ -55,9 +95,9 @@
 // largest returns the place with the most steady capacity.
 func (f *fleet) largest() string {
 	name, most := "", -1.0
-	for place, c := range f.byPlace {
-		if c > most || c == most && place < name {
-			name, most = place, c
+	for _, p := range f.byPlace {
+		if p.capacity > most || p.capacity == most && p.place < name {
+			name, most = p.place, p.capacity
 		}
 	}
 	return name
@@ -66,37 +106,22 @@
 // cover is the steady capacity that is left when the largest place is lost, after a
 // change of the capacity of one place.
 func (f *fleet) cover(place string, change float64) float64 {
-	total, most := 0.0, 0.0
-	seen := false
-	for p, c := range f.byPlace {
-		if p == place {
-			c, seen = c+change, true
-		}
-		total += c
-		most = max(most, c)
-	}
-	if !seen {
-		total += change
-		most = max(most, change)
-	}
-	return total - most
+	changed := slices.Clone(f.byPlace)
+	changed.add(place, change)
+	return changed.cover()
 }
 
 // ready returns the capacity that serves now, and the steady capacity that serves
-// outside the place where most of it is, when the given units are taken out.
+// outside the place where most of it is, when the given unit is taken out.
 func (f *fleet) ready(without *unit) (total, cover float64) {
-	byPlace, sum, most := map[string]float64{}, 0.0, 0.0
+	var byPlace capacities
 	for _, u := range f.units {
 		if u.ready && u != without {
 			total += u.capacity
-			byPlace[u.key.place] += u.steady
-			sum += u.steady
+			byPlace.add(u.key.place, u.steady)
 		}
 	}
-	for _, c := range byPlace {
-		most = max(most, c)
-	}
-	return total, sum - most
+	return total, byPlace.cover()
 }
 
 // dearest returns the units that serve and may stop, the most expensive first.
@@ -116,7 +141,7 @@
 // newFleet collects the units of a service from the instances and the starts that
 // are not among them yet.
 func (s *State) newFleet(now time.Time, in *Input, service Service, m *market) *fleet {
-	f := &fleet{byPlace: map[string]float64{}}
+	f := &fleet{}
 	replaced := map[string]bool{}
 	for _, id := range s.replaces {
 		replaced[id] = true
--- a/internal/placement/loads.go
+++ b/internal/placement/loads.go
@@ -108,6 +108,8 @@
 // members returns the instances of a service that stay, and of these the serving and
 // the idle ones.
 func (p *planner) members(service Service) (all, serving, idle []Instance) {
+	all = make([]Instance, 0, len(p.in.Instances))
+	serving = make([]Instance, 0, len(p.in.Instances))
 	for _, i := range p.in.Instances {
 		if i.Service != service.Name || i.State == Leaving || p.state.stopping[i.ID] != "" {
 			continue
--- a/internal/placement/offers.go
+++ b/internal/placement/offers.go
@@ -101,7 +101,7 @@
 func (m *market) covering(f *fleet, wanted float64, reclaimable bool) int {
 	largest := f.largest()
 	i := m.best(wanted, reclaimable, func(o offer) bool {
-		return o.place != largest && f.byPlace[o.place]+m.unit(o.key).steady <= f.byPlace[largest]
+		return o.place != largest && f.byPlace.of(o.place)+m.unit(o.key).steady <= f.byPlace.of(largest)
 	})
 	if i < 0 {
 		i = m.best(wanted, reclaimable, func(o offer) bool { return o.place != largest })
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -35,6 +35,9 @@
 	// serves.
 	moveShare     = 0.02
 	movesInFlight = 0.10
+	// maxGrowth is how much larger a replacement may be. Machine classes come in powers
+	// of two, and larger ones serve a little more than twice as much.
+	maxGrowth = 2.5
 )
 
 // need is the capacity that a service needs, in the unit of its demand.
@@ -278,7 +281,7 @@
 		if o.price/o.unit > u.price/u.capacity*(1-moveGain) {
 			return -1
 		}
-		if !o.reclaimable || o.left <= 0 || o.unit > 2*u.capacity || f.total+o.unit < n.total-n.band {
+		if !o.reclaimable || o.left <= 0 || o.unit > maxGrowth*u.capacity || f.total+o.unit < n.total-n.band {
 			continue
 		}
 		cover := f.cover(o.place, m.unit(o.key).steady)
