--- a/internal/bench/measures.go
+++ b/internal/bench/measures.go
@@ -1,4 +1,6 @@
 package bench
 
 // measures lists every measure.
-var measures = []Measure{}
+var measures = []Measure{
+	placementMeasure,
+}
