peer: bound the write to a peer that reads nothing in a setting

Cause: the write timeout could not be tested in less than 10 s. One test hung in 1 of 15 and, four processes at a time, 2 of 4 runs: it waited for a moment without a link, which a second link that was just being opened takes away. It now waits for the links that it broke to end and for a message to come through, which is as strict: a kept link has to open again.

--- a/internal/peer/hub.go
+++ b/internal/peer/hub.go
@@ -19,8 +19,14 @@
 	"apricotbridge/internal/message"
 )
 
-// DefaultIdle is how long a link that was opened on demand stays unused.
-const DefaultIdle = 60 * time.Second
+// Defaults of a Hub.
+const (
+	// DefaultIdle is how long a link that was opened on demand stays unused.
+	DefaultIdle = 60 * time.Second
+	// DefaultWriteTimeout exceeds the 2.2 s that the largest message needs on a
+	// link of 30 Mbit/s, also while other traffic takes most of the link.
+	DefaultWriteTimeout = 10 * time.Second
+)
 
 // Target is a peer to which a link is kept.
 type Target struct {
@@ -53,6 +59,9 @@
 	Metrics metrics.Registry
 	// Idle is how long an on-demand link stays unused; 0 means DefaultIdle.
 	Idle time.Duration
+	// WriteTimeout closes the link to a peer that does not read; 0 means
+	// DefaultWriteTimeout.
+	WriteTimeout time.Duration
 
 	once     sync.Once
 	counters *counters
@@ -86,6 +95,9 @@
 		if h.Idle == 0 {
 			h.Idle = DefaultIdle
 		}
+		if h.WriteTimeout == 0 {
+			h.WriteTimeout = DefaultWriteTimeout
+		}
 	})
 }
 
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -17,9 +17,6 @@
 	// lease of 30 s under which it is registered.
 	pingInterval = 5 * time.Second
 	pingTimeout  = 5 * time.Second
-	// writeTimeout closes the link to a peer that does not read. It exceeds the
-	// time that 16 MB in the queue need on a link of 30 Mbit/s.
-	writeTimeout = 10 * time.Second
 	// retiredFor is how long a duplicate link stays open, so that calls which the
 	// peer started before it knew of the other link finish.
 	retiredFor = 5 * time.Second
@@ -86,7 +83,7 @@
 			if !ok {
 				break
 			}
-			timed, cancel := context.WithTimeout(ctx, writeTimeout)
+			timed, cancel := context.WithTimeout(ctx, l.hub.WriteTimeout)
 			err := l.conn.Write(timed, websocket.MessageBinary, it.data)
 			cancel()
 			if err != nil {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -79,12 +79,14 @@
 }
 
 // breakLinks cuts the connections without a closing handshake.
-func breakLinks(h *Hub) {
+func breakLinks(h *Hub) (broken []*link) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for l := range h.links {
 		_ = l.conn.CloseNow()
+		broken = append(broken, l)
 	}
+	return broken
 }
 
 // started returns what a failed call says of the request.
@@ -214,15 +216,70 @@
 	if _, err = a.Forward(testContext(t), b.Self.PeerAddress, message.Forward{}); err != nil {
 		t.Errorf("other call: %v", err)
 	}
-	for err == nil {
-		_, err = slow.Next()
-		time.Sleep(10 * time.Millisecond)
+	for len(a.Peers()) > 0 && !over(slow) { // Reads nothing meanwhile.
+		time.Sleep(time.Millisecond)
 	}
+	_, err = body(slow)
 	if !errors.Is(err, ErrSlowReader) || !started(t, err) {
 		t.Errorf("slow reader: %v", err)
 	}
 }
 
+func over(r *Response) bool {
+	r.call.mu.Lock()
+	defer r.call.mu.Unlock()
+	return r.call.done
+}
+
+// Guards against a peer that reads nothing and keeps a handler waiting for ever.
+func TestPeerReadsNothing(t *testing.T) {
+	ended := make(chan error)
+	b := start(t, "b", func(h *Hub) {
+		h.WriteTimeout = 100 * time.Millisecond
+		h.Handler = handler{forward: func(_ context.Context, _ message.Forward, w ResponseWriter) {
+			var err error
+			for err == nil {
+				_, err = w.Write(make([]byte, maxPartBytes))
+			}
+			ended <- err
+		}}
+	})
+	conn := dialRaw(t, b, hello(t))
+	forward, err := message.Encode(message.KindForward, message.Forward{Call: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := conn.Write(testContext(t), websocket.MessageBinary, forward); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-ended; err == nil {
+		t.Error("the response was sent to a peer that reads nothing")
+	}
+}
+
+func hello(t *testing.T) []byte {
+	data, err := message.Encode(message.KindHello, message.Hello{Version: message.Version, Daemon: "x", Token: "secret"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+// dialRaw opens a connection to a hub and sends frames on it.
+func dialRaw(t *testing.T, h *Hub, frames ...[]byte) *websocket.Conn {
+	conn, _, err := websocket.Dial(testContext(t), "ws://"+h.Self.PeerAddress+linkPath, nil) //nolint:bodyclose // Dial closes it.
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.CloseNow() })
+	for _, f := range frames {
+		if err := conn.Write(testContext(t), websocket.MessageBinary, f); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return conn
+}
+
 // Guards against a full queue that loses anything but the oldest digest, and a
 // request that is refused as not started but sent.
 func TestQueueFull(t *testing.T) {
@@ -278,33 +335,21 @@
 // Guards against malformed bytes that end the daemon or leave the link open.
 func TestMalformedBytes(t *testing.T) {
 	b := start(t, "b", nil)
-	hello, err := message.Encode(message.KindHello, message.Hello{Version: message.Version, Daemon: "x", Token: "secret"})
-	if err != nil {
-		t.Fatal(err)
-	}
 	badBody, _ := message.Encode(message.KindForward, message.Hello{Version: 1})
 	badBody[len(badBody)-1] ^= 0xff
 	for name, frames := range map[string][][]byte{
 		"first":  {{0x9b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff}},
-		"second": {hello, {0xff, 0x00}},
-		"body":   {hello, badBody},
+		"second": {hello(t), {0xff, 0x00}},
+		"body":   {hello(t), badBody},
 	} {
-		conn, _, err := websocket.Dial(testContext(t), "ws://"+b.Self.PeerAddress+linkPath, nil) //nolint:bodyclose // Dial closes it.
-		if err != nil {
-			t.Fatal(err)
-		}
-		for _, f := range frames {
-			if err := conn.Write(testContext(t), websocket.MessageBinary, f); err != nil {
-				t.Fatal(err)
-			}
-		}
+		conn := dialRaw(t, b, frames...)
+		var err error
 		for err == nil {
 			_, _, err = conn.Read(testContext(t))
 		}
 		if got := websocket.CloseStatus(err); got != websocket.StatusInvalidFramePayloadData {
 			t.Errorf("%s: link ended with %v", name, err)
 		}
-		_ = conn.CloseNow()
 	}
 }
 
@@ -342,12 +387,17 @@
 	a, b := start(t, "a", change), start(t, "b", change)
 	a.Keep([]Target{{ID: "b", Address: b.Self.PeerAddress}})
 	b.Keep([]Target{{ID: "a", Address: a.Self.PeerAddress}})
-	exchange := func() {
-		for Send(b, "a", message.KindDigest, message.Digest{Revision: 1}) != nil {
-			time.Sleep(5 * time.Millisecond)
-		}
-		if got := <-messages; got != "b Digest" {
-			t.Errorf("got %q", got)
+	exchange := func() { // A digest sent into a link that just broke is lost.
+		for {
+			_ = Send(b, "a", message.KindDigest, message.Digest{Revision: 1})
+			select {
+			case got := <-messages:
+				if got != "b Digest" {
+					t.Errorf("got %q", got)
+				}
+				return
+			case <-time.After(20 * time.Millisecond):
+			}
 		}
 	}
 	links := func(h *Hub) int {
@@ -359,9 +409,11 @@
 	for links(a) != 1 || links(b) != 1 {
 		time.Sleep(5 * time.Millisecond)
 	}
-	breakLinks(a)
-	for links(b) != 0 {
-		time.Sleep(time.Millisecond)
+	for _, l := range breakLinks(a) {
+		<-l.done
+	}
+	for len(messages) > 0 {
+		<-messages
 	}
 	exchange()
 	a.Keep(nil)
