adoption: take a peer's digest as it is, also when it went back

Cause: a daemon that restarts with the same id showed a lower revision, which the highest number known of it hid, so that it was not pushed to.

The simulation keeps its events in a sorted slice instead of a heap.

--- a/internal/adoption/adoption.go
+++ b/internal/adoption/adoption.go
@@ -208,7 +208,9 @@
 	s.begin(now)
 	var actions []Action
 	if p := s.peers[from.Peer]; p != nil {
-		p.number, p.heard = max(p.number, r.Number), true
+		// A lower number is that of a restart, or of a late digest, which at worst
+		// leads to one more push.
+		p.number, p.heard = r.Number, true
 	}
 	switch from.Kind {
 	case KeyValue:
--- a/internal/adoption/sim_test.go
+++ b/internal/adoption/sim_test.go
@@ -1,10 +1,10 @@
 package adoption
 
 import (
-	"container/heap"
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -15,25 +15,9 @@
 
 type event struct {
 	at time.Time
-	n  int
 	do func()
 }
 
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].n < e[j].n
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	x := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return x
-}
-
 // node is a daemon. A replacement has a higher life and an empty state.
 type node struct {
 	membership.Daemon
@@ -62,8 +46,7 @@
 type world struct {
 	rand       *rand.Rand
 	now        time.Time
-	queue      events
-	n          int
+	queue      []event // The last one is next.
 	nodes      []*node
 	commits    []commit
 	outages    []span
@@ -100,13 +83,15 @@
 }
 
 func (w *world) after(d time.Duration, do func()) {
-	w.n++
-	heap.Push(&w.queue, event{at: w.now.Add(d), n: w.n, do: do})
+	at := w.now.Add(d)
+	i, _ := slices.BinarySearchFunc(w.queue, at, func(e event, at time.Time) int { return at.Compare(e.at) })
+	w.queue = slices.Insert(w.queue, i, event{at: at, do: do})
 }
 
 func (w *world) run(until time.Duration) {
-	for len(w.queue) > 0 && w.queue[0].at.Before(epoch.Add(until)) {
-		e := heap.Pop(&w.queue).(event)
+	for len(w.queue) > 0 && w.queue[len(w.queue)-1].at.Before(epoch.Add(until)) {
+		e := w.queue[len(w.queue)-1]
+		w.queue = w.queue[:len(w.queue)-1]
 		w.now = e.at
 		e.do()
 	}
