settings: add LedgerLease

Tests that freeze a daemon for longer than its lease had to wait 30 s for each takeover. The lease of ledger shards is now a setting with the former value as its default; a value that differs between daemons only delays takeovers, because safety rests on compare-and-swap.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -71,6 +71,7 @@
 	remote(d, "Cloud", s.Cloud)
 	for name, span := range map[string]*config.Duration{
 		"EntriesKeep": s.EntriesKeep, "DrainTimeout": s.DrainTimeout, "StreamIdle": s.StreamIdle, "HeaderTimeout": s.HeaderTimeout,
+		"LedgerLease": s.LedgerLease,
 	} {
 		positive(d, []any{name}, span)
 	}
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -43,6 +43,10 @@
 	// Key-value service.
 	KeyValue Remote `json:"KeyValue"`
 
+	// How long the tail of a silent ledger holder is left alone; the same at all
+	// daemons; default 30s.
+	LedgerLease *config.Duration `json:"LedgerLease,omitempty,omitzero"`
+
 	// Form of the log on standard error; default JSON.
 	LogFormat *SettingsLogFormat `json:"LogFormat,omitempty,omitzero"`
 
