--- a/cmd/apricotbridge/process_test.go
+++ b/cmd/apricotbridge/process_test.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"os"
 	"os/exec"
@@ -27,6 +28,8 @@
 	dir    string
 	list   string
 	kv     string
+	// more are settings of all daemons.
+	more map[string]any
 }
 
 // process is one started program.
@@ -106,10 +109,12 @@
 // serve starts a daemon.
 func (p *processes) serve(id, place, region string) *process {
 	p.t.Helper()
-	text, err := json.Marshal(map[string]any{
+	settings := map[string]any{
 		"Daemon": id, "Place": place, "Region": region, "CallerListen": "127.0.0.1:0", "PeerListen": "127.0.0.1:0",
 		"KeyValue": map[string]string{"Address": p.kv}, "InstanceList": map[string]string{"Address": p.list},
-	})
+	}
+	maps.Copy(settings, p.more)
+	text, err := json.Marshal(settings)
 	if err != nil {
 		p.t.Fatal(err)
 	}
