dispatch: don't report a request that a server got as not run

A request whose attempt crashed or broke off and that then found no server ended with NoCapacity, whose Ran is NotRun. It now ends with BackendFailed. Two faults of the same path: a suspect was never placed again at a restarted server of the same id, because only requests without suspicion got a second round, and an order whose caller left before its dispatch was reported as Internal.

The new test had 2 of 2 requests refused before and has the expected 1 now; with the conversion taken out it reports NoCapacity.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -7,6 +7,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -47,6 +48,9 @@
 	grants  chan Grant
 	server  routing.Server
 	running bool
+	// begun says that a server may have got the request, so that it is not reported
+	// as not run any more.
+	begun bool
 	// failed are the servers at which attempts failed.
 	failed    []string
 	parked    time.Time
@@ -251,6 +255,7 @@
 	}
 	d.counts.Retried++
 	w.running, w.generated = false, 0
+	w.begun = w.begun || ending != NotStarted
 	d.Queue.Return(now, used)
 	d.pump(now)
 	return nil
@@ -326,14 +331,12 @@
 		return false
 	}
 	w.Call.Alone = verdict == quarantine.Alone
-	w.Call.Excluded = w.failed
-	if verdict == quarantine.Apart {
-		w.Call.Excluded = d.withSuspects(now, w.failed)
-	}
+	w.Call.Excluded = d.excluded(now, w, verdict)
 	decision := d.Router.Choose(now, &w.Call, d.table, d.Rand)
-	if decision.Server == "" && verdict == quarantine.Normal && len(w.failed) > 0 {
+	if decision.Server == "" && len(w.failed) > 0 {
 		// Every server was tried: a second round is better than none.
-		w.failed, w.Call.Excluded = nil, nil
+		w.failed = nil
+		w.Call.Excluded = d.excluded(now, w, verdict)
 		decision = d.Router.Choose(now, &w.Call, d.table, d.Rand)
 	}
 	if decision.Server == "" {
@@ -348,12 +351,16 @@
 	return true
 }
 
-// withSuspects adds the servers that run a suspect to those that were tried.
-func (d *Dispatcher) withSuspects(now time.Time, failed []string) []string {
-	excluded := append([]string(nil), failed...)
-	for _, w := range d.works {
-		if w.running && d.Quarantine.Verdict(now, w.Fingerprint) != quarantine.Normal {
-			excluded = append(excluded, w.server.ID)
+// excluded returns the servers that a request may not use: those that were tried
+// and, for a suspect that runs apart, those that run another suspect.
+func (d *Dispatcher) excluded(now time.Time, w *Work, verdict quarantine.Verdict) []string {
+	excluded := slices.Clone(w.failed)
+	if verdict != quarantine.Apart {
+		return excluded
+	}
+	for _, other := range d.works {
+		if other.running && d.Quarantine.Verdict(now, other.Fingerprint) != quarantine.Normal {
+			excluded = append(excluded, other.server.ID)
 		}
 	}
 	return excluded
@@ -367,7 +374,7 @@
 		case !w.Durable && now.Sub(w.parked) > w.patience():
 			d.Queue.Done(now, admission.Usage{ID: w.Request.ID, Failed: true})
 			delete(d.works, w.Request.ID)
-			w.grants <- Grant{Problem: d.noServer(w.Request.Service)}
+			w.grants <- Grant{Problem: w.refusal(d.noServer(w.Request.Service))}
 		default:
 			kept = append(kept, w)
 		}
@@ -379,7 +386,7 @@
 // patience is how long a request that has its turn waits for a server. One that
 // has begun is not given up for want of a server as soon as a new one is.
 func (w *Work) patience() time.Duration {
-	if len(w.failed) > 0 {
+	if w.begun || len(w.failed) > 0 {
 		return begunParkedFor
 	}
 	return parkedFor
@@ -416,6 +423,15 @@
 		d.counts.Refused++
 		p := problem.New(dropped.Kind, "%s", dropped.Reason)
 		p.RetryAfter = dropped.RetryAfter
-		w.grants <- Grant{Problem: p}
+		w.grants <- Grant{Problem: w.refusal(p)}
 	}
 }
+
+// refusal returns the problem with which a request ends for want of a turn. One
+// that a server may have got is not reported as not run.
+func (w *Work) refusal(p *problem.Problem) *problem.Problem {
+	if w.begun && problem.Of(p.Kind).Ran == problem.NotRun {
+		return problem.New(problem.BackendFailed, "an attempt failed and there was no other: %s", p.Detail)
+	}
+	return p
+}
--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,81 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"apricotbridge/internal/admission"
+	"apricotbridge/internal/quarantine"
+	"apricotbridge/internal/routing"
+	"apricotbridge/pkg/problem"
+)
+
+// newDispatcher returns a dispatcher with one rank and one organisation.
+func newDispatcher() *Dispatcher {
+	queue := &admission.Queue{Daemon: "d", Seed: 1}
+	d := New(queue, routing.New(routing.Options{}), quarantine.New(quarantine.Options{}), rand.New(rand.NewPCG(1, 1)))
+	d.Configure([]admission.Rank{{Name: "order"}}, []admission.Organisation{{Name: "o", Weight: 1}})
+	return d
+}
+
+func table(incarnations ...int64) *routing.Table {
+	var servers []routing.Server
+	for i, incarnation := range incarnations {
+		servers = append(servers, routing.Server{
+			ID: string(rune('a' + i)), Incarnation: incarnation, Service: "s", Slots: 4, TokensPerSecond: 100, Accepting: true,
+		})
+	}
+	return routing.NewTable(servers, nil)
+}
+
+func work(id string) *Work {
+	return &Work{
+		Request:     admission.Request{ID: id, Organisation: "o", Rank: "order", Service: "s", MaxTokens: 8},
+		Call:        routing.Call{RequestID: id, Service: "s", Rank: "order"},
+		Fingerprint: quarantine.FingerprintOf("o", "s", []byte(id)),
+	}
+}
+
+// Guards P3 against a request that is reported as not run after a server got it:
+// one that crashed with its server and then finds none without another suspect.
+func TestRefusalAfterAnAttemptSaysThatItRan(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	d := newDispatcher()
+	d.SetTable(now, table(1))
+	works := []*Work{work("x"), work("y")}
+	for _, w := range works {
+		if p := d.Submit(now, w); p != nil {
+			t.Fatal(p)
+		}
+		if g := <-w.Grants(); g.Problem != nil {
+			t.Fatal(g.Problem)
+		}
+	}
+	d.SetTable(now, table(2))
+	for _, w := range works {
+		if p := d.Retry(now, w.Request.ID, Crashed); p != nil {
+			t.Fatal(p)
+		}
+	}
+	var refused []*problem.Problem
+	for range 90 {
+		now = now.Add(time.Second)
+		d.Tick(now)
+		for _, w := range works {
+			select {
+			case g := <-w.Grants():
+				if g.Problem != nil {
+					refused = append(refused, g.Problem)
+				}
+			default:
+			}
+		}
+	}
+	if len(refused) != 1 {
+		t.Fatalf("%d requests were refused, want the one without a server", len(refused))
+	}
+	if ran := problem.Of(refused[0].Kind).Ran; ran == problem.NotRun {
+		t.Errorf("%v reports a request that a server got as not run", refused[0])
+	}
+}
--- a/internal/entry/order.go
+++ b/internal/entry/order.go
@@ -136,7 +136,7 @@
 	}
 	q, ok := d.orders.get(l.RequestID)
 	if !ok {
-		return ledger.Outcome{Ran: problem.NotRun, Problem: problem.New(problem.Internal, "the call of the order is gone")}
+		return ledger.Outcome{Ran: problem.NotRun, Problem: problem.New(problem.NoCapacity, "the caller of the order went away before it was sent")}
 	}
 	a, p := d.callPlain(ctx, q)
 	if p != nil {
