entry: end a drained daemon only after a lull

In a rolling replacement a forwarded order ended as OutcomeUnknown: its holder was done with the handler and left before the answer was written to the link. The daemon now waits, bounded by 3 s, until no request has come for 250 ms and the links have written their queues; it asks callers to close their connections while it drains, and lets HTTP responses that are being written end. Closing idle connections at the start of the drain was ruled out, because a caller that sends at that moment does not know whether its request was taken.

--- a/cmd/apricotbridge/orders_process_test.go
+++ b/cmd/apricotbridge/orders_process_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
@@ -43,10 +44,11 @@
 }
 
 // newOrderFleet starts n daemons and three order stand-ins.
-func newOrderFleet(t *testing.T, configuration []byte, n int) *orderFleet {
+func newOrderFleet(t *testing.T, configuration []byte, n int, settings map[string]any) *orderFleet {
 	t.Helper()
 	f := &orderFleet{processes: newProcesses(t, configuration), t: t, record: &orderRecord{latency: 20 * time.Millisecond}}
 	f.more = map[string]any{"LedgerLease": orderLease.String()}
+	maps.Copy(f.more, settings)
 	f.places = [][2]string{{"asan", "bagmati"}, {"bhaktapur", "bagmati"}, {"lakeside", "gandaki"}}
 	for i, place := range f.places {
 		s := httptest.NewServer(f.record)
@@ -116,6 +118,18 @@
 	})
 }
 
+// waitModel waits until each daemon serves the model.
+func (f *orderFleet) waitModel() {
+	f.t.Helper()
+	for i := range f.ids {
+		eventually(f.t, "model at a daemon", func() bool {
+			body := `{"model":"sahayak-llm","prompt":"p","max_tokens":1}`
+			status, _, err := call(f.t.Context(), f.daemon(i).addresses[0], "counter-token", http.MethodPost, "/v1/completions", "", body)
+			return err == nil && status == http.StatusOK
+		})
+	}
+}
+
 // holds counts the ledger shards that a daemon holds.
 func (f *orderFleet) holds(id string) int {
 	store := &keyvalue.Client{Address: f.kv, Timeout: time.Second}
@@ -228,7 +242,7 @@
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			t.Parallel()
 			t.Logf("seed %d", seed)
-			f := newOrderFleet(t, samples.Shrestha, 4)
+			f := newOrderFleet(t, samples.Shrestha, 4, nil)
 			stop := make(chan struct{})
 			histories := make(chan []submitted, 1)
 			go func() { histories <- f.callers(seed, 8, stop) }()
@@ -292,7 +306,7 @@
 	if bytes.Equal(broken, samples.Shrestha) {
 		t.Fatal("the sample has no order service to change")
 	}
-	f := newOrderFleet(t, broken, 2)
+	f := newOrderFleet(t, broken, 2, nil)
 	stop := make(chan struct{})
 	histories := make(chan []submitted, 1)
 	go func() { histories <- f.callers(1, 4, stop) }()
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -65,6 +65,11 @@
 			c.id, c.forwarded = from.requestID, true
 		}
 		w.Header().Set("X-Request-ID", c.id)
+		if c.view.Draining && !forwarded {
+			// The caller closes the connection itself, so that its next request does not
+			// meet the end of this daemon.
+			w.Header().Set("Connection", "close")
+		}
 		d.active.begin()
 		defer d.active.end()
 		var p *problem.Problem
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -214,6 +214,9 @@
 	return dispatch.New(queue, routing.New(routing.Options{}), quarantine.New(quarantine.Options{}), random)
 }
 
+// closeTimeout bounds the wait for responses that are being written at the end.
+const closeTimeout = 500 * time.Millisecond
+
 // serveHTTP serves until the context ends, then closes the listener and all
 // connections. A drain has let the requests finish before.
 func serveHTTP(ctx context.Context, s *http.Server, l net.Listener) error {
@@ -221,6 +224,9 @@
 	go func() { ended <- s.Serve(l) }()
 	select {
 	case <-ctx.Done():
+		closing, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
+		defer cancel()
+		_ = s.Shutdown(closing) // Close ends what is left.
 		err := s.Close()
 		if serveErr := <-ended; err == nil && !errors.Is(serveErr, http.ErrServerClosed) {
 			err = serveErr
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -11,24 +11,38 @@
 	mu    sync.Mutex
 	count int
 	idle  chan struct{}
+	// last is when a request began or ended last.
+	last time.Time
 }
 
 func (a *activity) begin() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.count++
+	a.last = time.Now()
 }
 
 func (a *activity) end() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.count--
+	a.last = time.Now()
 	if a.count == 0 && a.idle != nil {
 		close(a.idle)
 		a.idle = nil
 	}
 }
 
+// lull returns how long there was no request.
+func (a *activity) lull(now time.Time) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.count > 0 {
+		return 0
+	}
+	return now.Sub(a.last)
+}
+
 // empty returns a channel that is closed when no request is active.
 func (a *activity) empty() <-chan struct{} {
 	a.mu.Lock()
@@ -49,6 +63,27 @@
 // port.
 const settle = 500 * time.Millisecond
 
+const (
+	// lull is how long a drained daemon has no request before it ends. A peer or a
+	// caller that sent one to a daemon which ends meanwhile does not know whether it
+	// ran.
+	lull = 250 * time.Millisecond
+	// lullTimeout bounds the wait for the lull, because callers with an old list of
+	// entries may go on to send.
+	lullTimeout = 3 * time.Second
+	lullPoll    = 10 * time.Millisecond
+)
+
+// awaitLull waits until no request has come for a while and the answers to peers
+// are written.
+func (d *Daemon) awaitLull(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, lullTimeout)
+	defer cancel()
+	for ctx.Err() == nil && (d.active.lull(time.Now()) < lull || !d.hub.Flushed()) {
+		sleep(ctx, lullPoll)
+	}
+}
+
 // Drain takes the daemon out of the list of entries at once, refuses new
 // requests, and ends Run when the requests in flight have their answers or the
 // deadline has come.
@@ -84,6 +119,7 @@
 	<-released
 	select {
 	case <-d.active.empty():
+		d.awaitLull(ctx)
 		d.Log.Info("drain complete")
 	case <-ctx.Done():
 		d.Log.Info("drain ended at its deadline")
--- a/internal/peer/hub.go
+++ b/internal/peer/hub.go
@@ -247,6 +247,23 @@
 	}
 }
 
+// Flushed tells whether all calls of peers were answered and all messages that
+// were queued have been written.
+func (h *Hub) Flushed() bool {
+	h.init()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for l := range h.links {
+		l.mu.Lock()
+		serving := len(l.serving)
+		l.mu.Unlock()
+		if serving > 0 || !l.queue.empty() {
+			return false
+		}
+	}
+	return true
+}
+
 // Peers returns the daemons that have a link.
 func (h *Hub) Peers() []message.Hello {
 	h.init()
--- a/internal/peer/queue.go
+++ b/internal/peer/queue.go
@@ -40,6 +40,8 @@
 	items  []*item
 	bytes  int
 	closed bool
+	// writing is set from the time an item is taken until the writer asks for more.
+	writing bool
 	// ready has a value when there may be an item, room when there may be room.
 	ready, room chan struct{}
 	// dropped is told the kind of each message that is dropped from the queue.
@@ -88,9 +90,11 @@
 func (q *queue) pop() (*item, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.writing = false
 	if len(q.items) == 0 || q.closed {
 		return nil, false
 	}
+	q.writing = true
 	it := q.items[0]
 	it.taken = true
 	q.cut(0)
@@ -101,6 +105,13 @@
 	return it, true
 }
 
+// empty tells whether all messages were written.
+func (q *queue) empty() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.items) == 0 && !q.writing
+}
+
 // withdraw removes a message and tells whether the receiver can't have it.
 func (q *queue) withdraw(it *item) bool {
 	q.mu.Lock()
