--- a/internal/bench/placement.go
+++ b/internal/bench/placement.go
@@ -51,10 +51,10 @@
 			limit = bound(minUrgentInTime)
 		}
 		d := days[i]
-		r.add("UrgentInTime", p.name, ratio(d.inTime[urgentRank], d.all[urgentRank]), "", limit, AtLeast)
+		r.add("UrgentInTime", p.name, ratio(d.inTime[rankUrgent], d.all[rankUrgent]), "", limit, AtLeast)
 		r.add("UrgentInTimeInLoss", p.name, ratio(d.lossTime, d.lossAll), "", limit, AtLeast)
-		r.add("NormalInTime", p.name, ratio(d.inTime[normalRank], d.all[normalRank]), "", limit, AtLeast)
-		r.add("BatchInTime", p.name, ratio(d.inTime[batchRank], d.all[batchRank]), "", limit, AtLeast)
+		r.add("NormalInTime", p.name, ratio(d.inTime[rankNormal], d.all[rankNormal]), "", limit, AtLeast)
+		r.add("BatchInTime", p.name, ratio(d.inTime[rankBatch], d.all[rankBatch]), "", limit, AtLeast)
 		r.add("Cost", p.name, charged(t, d), "currency", nil, AtMost)
 		r.add("Undone", p.name, ratio(d.undone, d.all[0]+d.all[1]+d.all[2]), "", nil, "")
 		r.add("LostShare", p.name, d.lostShare, "", nil, "")
--- a/internal/bench/placement_bound.go
+++ b/internal/bench/placement_bound.go
@@ -31,12 +31,12 @@
 // allowed. By weak duality any fine gives a lower bound; the best of a few is taken.
 func lowerBound(t *dayTrace, lostPlace int) (least float64) {
 	const steps = (daySeconds + drainSeconds) / boundSeconds
-	window := int(placementRanks[batchRank].Deadline.Seconds()) / boundSeconds
+	window := int(placementRanks[rankBatch].Deadline.Seconds()) / boundSeconds
 	firm, batch := make([]float64, steps), make([]float64, steps)
 	for _, ranks := range t.demand {
 		for r, series := range ranks {
 			for s, work := range series {
-				if r == batchRank {
+				if r == rankBatch {
 					batch[s/boundSeconds] += work
 				} else {
 					firm[s/boundSeconds] += work
--- a/internal/bench/placement_sim.go
+++ b/internal/bench/placement_sim.go
@@ -85,9 +85,9 @@
 	hours             float64
 }
 
-var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+var traceStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-func at(second int) time.Time { return epoch.Add(time.Duration(second) * time.Second) }
+func at(second int) time.Time { return traceStart.Add(time.Duration(second) * time.Second) }
 
 // runDay runs a policy until all work is done.
 func runDay(t *dayTrace, policy placementPolicy, seed uint64) dayResult {
@@ -378,11 +378,11 @@
 func (s *daySim) arrive(service, rank, second int) {
 	work := s.trace.demand[service][rank][second]
 	s.result.all[rank] += work
-	if rank == urgentRank && s.inLoss(second) {
+	if rank == rankUrgent && s.inLoss(second) {
 		s.result.lossAll += work
 	}
 	q := &s.queues[service][rank]
-	if n := len(*q); rank == batchRank && n > 0 && second-(*q)[n-1].second < 60 {
+	if n := len(*q); rank == rankBatch && n > 0 && second-(*q)[n-1].second < 60 {
 		(*q)[n-1].work += work
 		return
 	}
@@ -398,7 +398,7 @@
 	q := s.queues[service][rank]
 	for len(q) > 0 {
 		wait := float64(second - q[0].second)
-		if rank != batchRank && wait > deadline {
+		if rank != rankBatch && wait > deadline {
 			s.result.undone += q[0].work
 			q = q[1:]
 			continue
@@ -410,7 +410,7 @@
 		left -= done
 		if wait+firstTokenSeconds <= target {
 			s.result.inTime[rank] += done
-			if rank == urgentRank && s.inLoss(q[0].second) {
+			if rank == rankUrgent && s.inLoss(q[0].second) {
 				s.result.lossTime += done
 			}
 		}
--- a/internal/bench/placement_trace.go
+++ b/internal/bench/placement_trace.go
@@ -27,9 +27,9 @@
 
 // Ranks of the trace.
 const (
-	urgentRank = iota
-	normalRank
-	batchRank
+	rankUrgent = iota
+	rankNormal
+	rankBatch
 	rankCount
 )
 
@@ -106,11 +106,11 @@
 // Batch work arrives all day; the other ranks fall to a third at night.
 func demandOf(rng *rand.Rand, peak float64, rank int) []float64 {
 	low := 0.33
-	if rank == batchRank {
+	if rank == rankBatch {
 		low = 0.7
 	}
 	var bursts []int
-	if rank != batchRank {
+	if rank != rankBatch {
 		for range 6 {
 			bursts = append(bursts, rng.IntN(daySeconds))
 		}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -15,7 +15,7 @@
 func newDispatcher() *Dispatcher {
 	queue := &admission.Queue{Daemon: "d", Seed: 1}
 	d := New(queue, routing.New(routing.Options{}), quarantine.New(quarantine.Options{}), rand.New(rand.NewPCG(1, 1)))
-	d.Configure([]admission.Rank{{Name: "order"}}, []admission.Organisation{{Name: "o", Weight: 1}})
+	d.Configure([]admission.Rank{{Name: "order"}}, []admission.Organisation{{Name: "o", Weight: 1}}, quarantine.Options{})
 	return d
 }
 
