adoption: check the volume between regions without a relay

Cause: a region that can't reach the key-value service learns revisions only over the slow link, where 189 daemons fetching 50 KB each would be 9.4 MB.

--- a/internal/adoption/adoption_test.go
+++ b/internal/adoption/adoption_test.go
@@ -170,7 +170,7 @@
 	}
 	w.run(2 * time.Second)
 	for _, n := range w.nodes {
-		n.bytes, n.pushed = 0, 0
+		n.bytes = 0
 	}
 	w.commit(strings.Repeat("x", size))
 	count := func() (reached, hops, most, total int) {
@@ -196,6 +196,34 @@
 	}
 }
 
+// Guards against a region without a relay whose daemons all fetch a revision over
+// the slow link, of which a revision may take a tenth for 3 s.
+func TestFetchAcrossRegions(t *testing.T) {
+	const seed, size = 11, 50_000
+	w := newWorld(seed, deployment(380))
+	for _, n := range w.nodes {
+		n.relay = n.relay && n.Region == w.nodes[0].Region
+		w.start(n)
+		n.state.Poll = 0
+		w.perform(n, n.state.Offer(w.now, Revision{Number: 1, Value: []byte("1 ")}, Source{Kind: KeyValue}))
+	}
+	w.commits = []commit{{Revision: Revision{Number: 1}, at: w.now}}
+	w.run(3 * time.Second)
+	w.across = 0
+	w.commit(strings.Repeat("x", size))
+	w.run(w.now.Sub(epoch) + 3*time.Second)
+	behind := 0
+	for _, n := range w.nodes {
+		if r, _ := n.state.InForce(); r.Number == 1 {
+			behind++
+		}
+	}
+	t.Logf("seed %d: %d KB between the regions, %d daemons behind after 3 s", seed, w.across/1000, behind)
+	if tenth := 3 * 30_000_000 / 8 / 10; behind > 0 || w.across > tenth {
+		t.Errorf("%d daemons behind; %d bytes, a tenth of the link in 3 s is %d", behind, w.across, tenth)
+	}
+}
+
 // Guards against a daemon that stops at a revision it can't parse, reverts, or is
 // sent it again each second, and against a fault that operators do not see.
 func TestUnparsable(t *testing.T) {
--- a/internal/adoption/sim_test.go
+++ b/internal/adoption/sim_test.go
@@ -21,14 +21,14 @@
 // node is a daemon. A replacement has a higher life and an empty state.
 type node struct {
 	membership.Daemon
-	state         *State
-	life          int
-	up            bool
-	since         time.Time
-	links         []*node
-	relay         bool
-	hops          int // Of the revision in force.
-	pushed, bytes int
+	state *State
+	life  int
+	up    bool
+	since time.Time
+	links []*node
+	relay bool
+	hops  int // Of the revision in force.
+	bytes int
 }
 
 type commit struct {
@@ -53,6 +53,7 @@
 	partitions []span
 	lag        time.Duration
 	last       bool // Broken variant: adopts whatever comes last.
+	across     int  // Bytes of revisions sent between the regions.
 	late       bool // Messages come a second time, late.
 }
 
@@ -210,7 +211,9 @@
 
 func (w *world) give(n, to *node, r Revision) {
 	hops := n.hops + 1
-	n.pushed++
+	if n.Region != to.Region {
+		w.across += len(r.Value)
+	}
 	w.send(n, to, len(r.Value), func() { w.offer(to, r, Source{Push, n.ID}, hops) })
 }
 
