entry: send all members over a new link; show shards and duties

Cause: digests leave out gone servers, so a daemon with an old list could bring one back at a peer that had not heard of its end; both ends of a new link now exchange all members. The status tells the ledger shards, the placement duty with its fencing number and whether the daemon is a relay, which show prints. Metric names of the peer links had dots, which scrapers refuse.

Run: go test ./internal/demo ./internal/operations ./internal/registrar.

--- a/internal/entry/adopt.go
+++ b/internal/entry/adopt.go
@@ -51,7 +51,7 @@
 			}
 		case adoption.Fetch:
 			for _, id := range a.Peers {
-				c.answered(id, peer.Send(c.d.hub, id, message.KindFetch, message.Fetch{}))
+				c.answered(id, peer.Send(c.d.hub, id, message.KindFetch, message.Fetch{Above: c.adoption.Shown()}))
 			}
 		case adoption.Alarm:
 			c.view.Alarm = a.Reason
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -109,11 +109,13 @@
 	hub       *peer.Hub
 	handler   http.Handler
 	woken     atomic.Int64
-	orders    orders
-	transfers transfers
-	notices   noticeBoard
-	metrics   *telemetry
-	drainOnce sync.Once
+	// placementFence is the fencing number of the placement duty; 0 means not held.
+	placementFence atomic.Uint64
+	orders         orders
+	transfers      transfers
+	notices        noticeBoard
+	metrics        *telemetry
+	drainOnce      sync.Once
 }
 
 // addresses are where the daemon listens, known once it is ready.
--- a/internal/entry/gossip.go
+++ b/internal/entry/gossip.go
@@ -48,9 +48,7 @@
 		Listener: l,
 		Handler:  d,
 		Handle:   d.handlePeer,
-		Up: func(p message.Hello) {
-			d.tell(func(c *controlState, now time.Time) { c.daemons.Heard(now, daemonOf(p)) })
-		},
+		Up:       func(p message.Hello) { d.tell(func(c *controlState, now time.Time) { c.linked(now, p) }) },
 		Unreachable: func(t peer.Target, _ error) {
 			if t.ID != "" {
 				d.tell(func(c *controlState, now time.Time) { c.broken(now, t.ID) })
@@ -61,6 +59,14 @@
 	}
 }
 
+// linked takes a daemon with a new link. It gets all members, because digests leave
+// out the gone ones, which keep an old list from reviving a server.
+func (c *controlState) linked(now time.Time, p message.Hello) {
+	c.daemons.Heard(now, daemonOf(p))
+	delete(c.exchange.repaired, p.Daemon)
+	c.repairMembers(now, p.Daemon)
+}
+
 func daemonOf(p message.Hello) membership.Daemon {
 	return membership.Daemon{
 		ID: p.Daemon, Start: p.Start, Place: p.Place, Region: p.Region,
@@ -191,10 +197,13 @@
 			c.offer(now, adoption.Revision{Number: m.Revision, Value: m.Value}, adoption.Source{Kind: adoption.Push, Peer: from.Daemon})
 		})
 	case message.KindFetch:
-		handle(d, e, func(c *controlState, _ time.Time, _ message.Fetch) {
+		handle(d, e, func(c *controlState, _ time.Time, m message.Fetch) {
 			held := c.adoption.Held()
-			m := message.Configuration{Revision: held.Number, Value: held.Value}
-			c.answered(from.Daemon, peer.Send(c.d.hub, from.Daemon, message.KindConfiguration, m))
+			if held.Number <= m.Above {
+				return
+			}
+			answer := message.Configuration{Revision: held.Number, Value: held.Value}
+			c.answered(from.Daemon, peer.Send(c.d.hub, from.Daemon, message.KindConfiguration, answer))
 		})
 	case message.KindMembers:
 		handle(d, e, func(c *controlState, now time.Time, m message.Members) { c.mergeMembers(now, m) })
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -67,7 +67,8 @@
 	}
 	t.registry.Each(func(key string, metric any) {
 		name, label, _ := strings.Cut(key, "|")
-		name = "apricotbridge_" + name
+		// Counters of the peer links have dots, which scrapers refuse.
+		name = "apricotbridge_" + strings.ToLower(strings.ReplaceAll(name, ".", "_"))
 		switch m := metric.(type) {
 		case metrics.Counter:
 			lines = append(lines, fmt.Sprintf("%s_total%s %d", name, labels("kind", label), m.Count()))
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -29,6 +29,11 @@
 	Queues        []QueueStatus   `json:"Queues"`
 	Servers       []ServerStatus  `json:"Servers"`
 	Daemons       []DaemonStatus  `json:"Daemons"`
+	// LedgerShards are the shards held here, and Duties the single-holder duties
+	// with their fencing numbers.
+	LedgerShards []int             `json:"LedgerShards"`
+	Duties       map[string]uint64 `json:"Duties"`
+	Relay        bool              `json:"Relay"`
 }
 
 // QueueStatus is the waiting work of one organisation in one rank of a service.
@@ -109,6 +114,13 @@
 		Draining: v.Draining, Revision: v.Revision, Confirmed: v.Confirmed, Alarm: v.Alarm, Queued: work.Queue.Queued,
 		Running: work.Queue.Running, Counts: work.Counts,
 	}
+	s.Relay, s.Duties = v.Relay, map[string]uint64{}
+	if fence := d.placementFence.Load(); fence != 0 {
+		s.Duties["placement/"+d.Settings.Region] = fence
+	}
+	if reg := d.registrar.Load(); reg != nil {
+		s.LedgerShards = reg.Held()
+	}
 	for _, f := range work.Queue.Flows {
 		s.Queues = append(s.Queues, QueueStatus{
 			Service: f.Service, Rank: f.Rank, Organisation: f.Organisation, Queued: f.Queued,
--- a/internal/entry/placement.go
+++ b/internal/entry/placement.go
@@ -61,10 +61,12 @@
 	p := &placer{d: d, duty: d.newDuty("placement/"+d.Settings.Region, placement.OrderLifetime), stops: map[string]time.Time{}}
 	p.duty.acquired = func(fence uint64, ordersFrom time.Time) {
 		p.fence, p.ordersFrom, p.state = fence, ordersFrom, placement.State{}
+		d.placementFence.Store(fence)
 		d.Log.Info("placement duty acquired", "Fence", fence, "OrdersFrom", ordersFrom)
 	}
 	p.duty.lost = func(reason string) {
 		p.fence = 0
+		d.placementFence.Store(0)
 		d.Log.Info("placement duty lost", "Reason", reason)
 	}
 	last := time.Time{}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -225,6 +225,17 @@
 	return tail.Holder, nil
 }
 
+// Held returns the shards that this daemon is known to hold, for operators.
+func (r *Registrar) Held() []int {
+	held := []int{}
+	for shard := range r.Shards {
+		if w := r.worker(shard); w != nil && w.owner() == r.Daemon {
+			held = append(held, shard)
+		}
+	}
+	return held
+}
+
 // Forget drops the remembered holder of a shard.
 func (r *Registrar) Forget(shard int) {
 	if w := r.worker(shard); w != nil {
