--- a/internal/routing/affinity.go
+++ b/internal/routing/affinity.go
@@ -13,10 +13,14 @@
 	// headPrior is the number of imagined calls, spread over priorHeads heads, that
 	// keep the first calls of a daemon from spreading one head over all servers.
 	headPrior  = 32.0
-	priorHeads = 16.0
-	// sizeHysteresis keeps the number of servers of a head until its share has changed
-	// by this factor, because each change moves sessions away from their cache.
-	sizeHysteresis = 1.5
+	priorHeads = 64.0
+	// leastPart of the servers is the smallest size of a head. Daemons cannot measure
+	// the share of rare heads, and different sizes send one session to different
+	// servers.
+	leastPart = 16
+	// sizeStep is the ratio of consecutive sizes. Few sizes mean that daemons with
+	// different measurements still agree.
+	sizeStep = 4
 	// homes is the number of servers that a session prefers, in order.
 	homes = 3
 )
@@ -24,7 +28,7 @@
 // homeTrust is the expected part of a session's earlier prompt in the cache of its
 // preferred servers, in order. The second one gets sessions when the first is
 // full at some daemon.
-var homeTrust = [homes]float64{0.85, 0.3, 0.1}
+var homeTrust = [homes]float64{0.95, 0.1, 0.05}
 
 // groupTrust is the expected part of a shared head in the cache of a server that the
 // head is spread over.
@@ -44,14 +48,19 @@
 	r.total.decay(now)
 	total += r.total.weight
 	exact := headSpread * float64(n) * weight / total
-	size := min(max(int(math.Ceil(exact)), 1), n)
-	if !ok {
-		return size
+	size := (n + leastPart - 1) / leastPart
+	for float64(size) < exact {
+		size *= sizeStep
 	}
-	if h.size == 0 || exact > float64(h.size)*sizeHysteresis || exact < float64(h.size)/sizeHysteresis {
+	if ok {
+		// A size is kept until it is twice too large by another step, because each
+		// change moves sessions away from their cache.
+		if size < h.size && exact*sizeStep*2 > float64(h.size) {
+			size = h.size
+		}
 		h.size = size
 	}
-	return min(h.size, n)
+	return min(size, n)
 }
 
 // findHomes returns the positions in t.servers that the session of a call prefers, by
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -41,7 +41,10 @@
 		return r.choosePlain(now, call, t, servers, random)
 	}
 	sc := r.scoring(now, call, t)
-	r.gather(now, call, t, servers, random)
+	// Preferences stay in the region: half the prompts of the design size would
+	// need six times the bandwidth of the link. When it has no free slot, scan
+	// compares all servers, with the link's cost in the score.
+	r.gather(now, call, t, t.near(call), random)
 	best, full := none, none
 	considered := 0
 	for _, c := range r.candidates {
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -32,6 +32,10 @@
 	headLife = 2 * time.Minute
 	// holdWeight is the weight of one response in the average time that a slot is held.
 	holdWeight = 0.05
+	// crowdSeconds is the wait counted for a server with all slots in use but one,
+	// and in proportion below. It places new sessions on less loaded servers; it is too
+	// small to move a session away from a cached prompt of 1000 tokens.
+	crowdSeconds = 0.2
 	// trustWeight is the weight of one response in a server's trust. Evictions come in
 	// bursts, which a larger weight would take for a change.
 	trustWeight = 0.05
@@ -301,7 +305,7 @@
 
 // waitSeconds estimates the wait in a server with the given load.
 func (r *Router) waitSeconds(st *state, load float64) float64 {
-	wait := prefillSeconds(st.prefillRate, st.pending)
+	wait := prefillSeconds(st.prefillRate, st.pending) + crowdSeconds*load/st.slots
 	if over := load - st.slots + 1; over > 0 {
 		wait += over * r.hold / st.slots
 	}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -47,6 +47,8 @@
 	hashes   []uint64
 	byID     map[string]int
 	services map[string][]int
+	// locals holds the servers of a service in one region.
+	locals map[local][]int
 	// regions numbers the regions; regionOf holds the number of each server's region,
 	// and links the link between two numbers. Decisions look links up for every server.
 	regions  map[string]int
@@ -54,6 +56,8 @@
 	links    [][]*Link
 }
 
+type local struct{ service, region string }
+
 // NewTable copies the servers and links into a table.
 func NewTable(servers []Server, links []Link) *Table {
 	t := &Table{
@@ -61,6 +65,7 @@
 		hashes:   make([]uint64, len(servers)),
 		byID:     make(map[string]int, len(servers)),
 		services: make(map[string][]int),
+		locals:   make(map[local][]int),
 		regions:  make(map[string]int),
 		regionOf: make([]int, len(servers)),
 	}
@@ -69,6 +74,8 @@
 		t.hashes[i] = xxhash.Sum64String(s.ID)
 		t.byID[s.ID] = i
 		t.services[s.Service] = append(t.services[s.Service], i)
+		here := local{s.Service, s.Region}
+		t.locals[here] = append(t.locals[here], i)
 		t.regionOf[i] = t.region(s.Region)
 	}
 	for _, l := range links {
@@ -86,6 +93,18 @@
 	return t
 }
 
+// near returns the servers of a call's service in the daemon's region. Where none of
+// them accepts work, it returns all.
+func (t *Table) near(call *Call) []int {
+	near := t.locals[local{call.Service, call.Region}]
+	for _, i := range near {
+		if t.servers[i].Accepting {
+			return near
+		}
+	}
+	return t.services[call.Service]
+}
+
 func (t *Table) region(name string) int {
 	i, ok := t.regions[name]
 	if !ok {
