--- a/internal/bench/measures.go
+++ b/internal/bench/measures.go
@@ -6,4 +6,5 @@
 	{Name: "ledger", Short: "claims per order against shards with group commit", Run: measureLedger},
 	{Name: "takeover", Short: "takeover by indexes against reading the whole shard", Run: measureTakeover},
 	placementMeasure,
+	{Name: "routing", Short: "prefix cache use and first token against true sight, least load and random", Run: measureRouting},
 }
