placement: take back stops when urgent work grows, check random faults

Cause: a test with a random platform (refused and lost starts, reclaims, late answers, demand that jumps, new holders) found a stop that had not taken effect and was repeated after the urgent demand had risen, at 3000 checks. Stops are now taken back while the instance still serves and the urgent work needs it.

Ruled out: stops that lapse like starts, because the urgent work would wait for the lapse.

Variants that stop an instance before its replacement serves, that ignore the cover in moves, or that do not take stops back each fail TestMove or TestRecall.

--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -150,9 +150,7 @@
 		if i.Service != service.Name || i.State == Leaving || s.stopping[i.ID] != "" {
 			continue
 		}
-		u := m.unit(key{i.Place, i.Class, i.Reclaimable})
-		u.instance, u.ready = i, i.State == Serving
-		u.old = now.Sub(i.Started) >= minKeep
+		u := m.member(now, i)
 		u.replaced = replaced[i.ID]
 		f.units = append(f.units, u)
 		if !u.replaced {
@@ -177,6 +175,14 @@
 	}
 }
 
+// member is the unit of an instance.
+func (m *market) member(now time.Time, i Instance) *unit {
+	u := m.unit(key{i.Place, i.Class, i.Reclaimable})
+	u.instance, u.ready = i, i.State == Serving
+	u.old = now.Sub(i.Started) >= minKeep
+	return u
+}
+
 func sortedKeys[V any](m map[string]V) []string {
 	keys := make([]string, 0, len(m))
 	for k := range m {
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -63,6 +63,7 @@
 		m := s.market(now, &in, service)
 		f := s.newFleet(now, &in, service, &m)
 		n := p.need(service, f)
+		p.recall(service, f, &m, n)
 		p.grow(service, f, &m, n)
 		n = s.peak(now, service.Name, n)
 		if now.Sub(s.began) >= surplusTime { // A new holder does not know the recent need.
@@ -187,6 +188,20 @@
 	return price / p.smooth(p.state.price, service.Name, price, priceMemory)
 }
 
+// recall takes back stops that have not taken effect when the urgent work has grown
+// in the meantime.
+func (p *planner) recall(service Service, f *fleet, m *market, n need) {
+	for _, i := range p.in.Instances {
+		if ready, _ := f.ready(nil); ready >= n.urgent {
+			return
+		}
+		if i.Service == service.Name && i.State == Serving && p.state.stopping[i.ID] != "" {
+			delete(p.state.stopping, i.ID)
+			f.add(m.member(p.now, i))
+		}
+	}
+}
+
 // grow starts instances until the need is met, reclaimable ones first and on-demand
 // ones only for the urgent work.
 func (p *planner) grow(service Service, f *fleet, m *market, n need) {
--- a/internal/placement/plan_test.go
+++ b/internal/placement/plan_test.go
@@ -312,3 +312,54 @@
 		t.Error(diff)
 	}
 }
+
+// Guards against a move to a cheaper place that stops an instance before its
+// replacement serves, or that leaves the urgent work exposed to the loss of a place.
+func TestMove(t *testing.T) {
+	now, in, s := start, region(1000, 0), &State{}
+	run(&in, s, &now, 40, func(o Order) bool { return o.Place == "a" })
+	serving := func() (total, left int) {
+		n := map[string]int{}
+		for _, i := range in.Instances {
+			if i.State == Serving {
+				n[i.Place]++
+				total++
+			}
+		}
+		return total, total - max(n["a"], n["b"], n["c"])
+	}
+	before, _ := serving()
+	for range 240 {
+		run(&in, s, &now, 1, nil)
+		if total, left := serving(); total < min(before, 18) || left < 12 {
+			t.Fatalf("%d instances serve, %d of them outside the largest place, want %d and 12", total, left, before)
+		}
+	}
+	if n := byPlace(in); n["a"] < 6 {
+		t.Errorf("got %v two hours after place a opened, want a third there", n)
+	}
+}
+
+// Guards against stops that are repeated after the urgent work has grown.
+func TestRecall(t *testing.T) {
+	now, in, s := start, region(1000, 0), &State{}
+	run(&in, s, &now, 40, nil)
+	stops := func() (n int) {
+		for _, o := range Plan(now, in, s) {
+			if o.Kind == Stop {
+				n++
+			}
+		}
+		now = now.Add(30 * time.Second)
+		return n
+	}
+	in.Demand[0].TokensPerSecond = 200
+	decided := 0
+	for range 14 { // No stop takes effect.
+		decided = stops()
+	}
+	in.Demand[0].TokensPerSecond = 1500
+	if after := stops(); decided == 0 || after != 0 {
+		t.Errorf("got %d stops at low demand and %d at high demand, want some and none", decided, after)
+	}
+}
