bench: keep the names and bars of plots apart

Cause: the last bar was cut off at the edge and the names of five policies ran into each other, as a drawing of the placement measure showed.

Ruled out: slanted names, because they take a third of the height.

--- a/internal/bench/plot.go
+++ b/internal/bench/plot.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"image/color"
 	"os"
 	"path/filepath"
 
@@ -14,9 +15,11 @@
 
 const (
 	plotColumns = 2
-	plotWidth   = 12 * vg.Centimeter
+	plotWidth   = 14 * vg.Centimeter
 	plotHeight  = 7 * vg.Centimeter
 	barWidth    = 14 * vg.Millimeter
+	// labelSize keeps the names of five policies apart.
+	labelSize = vg.Length(8)
 )
 
 // Plot writes one SVG file for each result into dir and returns their paths. A file
@@ -61,7 +64,7 @@
 		charts[i/plotColumns][i%plotColumns] = chart
 	}
 	canvas := vgsvg.New(plotColumns*plotWidth, vg.Length(rows)*plotHeight)
-	tiles := draw.Tiles{Rows: rows, Cols: plotColumns, PadX: vg.Centimeter, PadY: vg.Centimeter}
+	tiles := draw.Tiles{Rows: rows, Cols: plotColumns, PadX: vg.Centimeter, PadY: vg.Centimeter, PadRight: vg.Centimeter, PadTop: vg.Centimeter}
 	for row, canvases := range plot.Align(charts, tiles, draw.New(canvas)) {
 		for column, c := range canvases {
 			if chart := charts[row][column]; chart != nil {
@@ -95,7 +98,11 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "figure %s", name)
 	}
+	bars.Color = color.Gray{Y: 128}
 	chart.Add(bars)
 	chart.NominalX(labels...)
+	chart.X.Tick.Label.Font.Size = labelSize
+	// Half a bar's distance on each side keeps the outer bars inside.
+	chart.X.Min, chart.X.Max = -0.5, float64(len(labels))-0.5
 	return chart, nil
 }
