placement: tell elastic work by its target, not by its deadline

Cause: a rank's target is what 95 in 100 requests are measured by, and the deadline is when a request is refused. Work planned towards the deadline would miss its target, and the target for the first token was not used.

Ruled out: both fields in the input, because the deadline then has no use.

--- a/internal/bench/placement_bound.go
+++ b/internal/bench/placement_bound.go
@@ -13,7 +13,7 @@
 // easier than the one that a policy has, so that no policy can be cheaper:
 //
 //   - work of the urgent and the normal rank runs in the 5 minutes in which it
-//     arrives, batch work within its deadline;
+//     arrives, batch work within its target;
 //   - reclaimable instances cost their present price and are limited by the same
 //     capacities, and the place that the policy lost is lost for as long;
 //   - the models share all instances, and an instance is paid for exactly the part
@@ -31,7 +31,7 @@
 // allowed. By weak duality any fine gives a lower bound; the best of a few is taken.
 func lowerBound(t *dayTrace, lostPlace int) (least float64) {
 	const steps = (daySeconds + drainSeconds) / boundSeconds
-	window := int(placementRanks[batchRank].Deadline.Seconds()) / boundSeconds
+	window := int(placementDeadlines[batchRank]) / boundSeconds
 	firm, batch := make([]float64, steps), make([]float64, steps)
 	for _, ranks := range t.demand {
 		for r, series := range ranks {
--- a/internal/bench/placement_sim.go
+++ b/internal/bench/placement_sim.go
@@ -394,7 +394,7 @@
 }
 
 func (s *daySim) run(service, rank, second int, left float64) float64 {
-	target, deadline := placementRanks[rank].FirstToken.Seconds(), placementRanks[rank].Deadline.Seconds()
+	target, deadline := placementRanks[rank].FirstToken.Seconds(), placementDeadlines[rank]
 	q := s.queues[service][rank]
 	for len(q) > 0 {
 		wait := float64(second - q[0].second)
--- a/internal/bench/placement_trace.go
+++ b/internal/bench/placement_trace.go
@@ -35,11 +35,14 @@
 
 var (
 	placementRanks = []placement.Rank{
-		{Name: "Urgent", FirstToken: 1900 * time.Millisecond, Deadline: 20 * time.Second},
-		{Name: "Normal", FirstToken: 10 * time.Second, Deadline: time.Minute},
-		{Name: "Batch", FirstToken: 6 * time.Hour, Deadline: 6 * time.Hour},
+		{Name: "Urgent", FirstToken: 1900 * time.Millisecond},
+		{Name: "Normal", FirstToken: 10 * time.Second},
+		{Name: "Batch", FirstToken: 6 * time.Hour},
 	}
-	placementClasses = []placement.Class{
+	// placementDeadlines are the longest waits by rank. Work that has waited longer is
+	// refused, but for batch work, which is counted as late.
+	placementDeadlines = [rankCount]float64{20, 60, 6 * 3600}
+	placementClasses   = []placement.Class{
 		{Name: "a4", Slots: 48, TokensPerSecond: 1390},
 		{Name: "a8", Slots: 96, TokensPerSecond: 2826},
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -29,14 +29,13 @@
 	Weights   Weights
 }
 
-// Rank is a rank of work with its targets.
+// Rank is a rank of work with its target. The target between tokens is met by the
+// rate of a class, which holds with all slots in use.
 type Rank struct {
 	Name string
-	// FirstToken is the target for the first token.
+	// FirstToken is the target for the first token. Work whose target is at least
+	// minElastic may wait for capacity or for a lower price.
 	FirstToken time.Duration
-	// Deadline is the longest wait. Work whose deadline is at least minElastic may
-	// wait for capacity or for a lower price.
-	Deadline time.Duration
 }
 
 // Service is a pool of backend servers.
@@ -200,7 +199,7 @@
 	// OrderLifetime bounds the time from an order to its effect. A new holder adds it
 	// to the lease before its first order when engines ignore fencing numbers.
 	OrderLifetime = time.Minute
-	// minElastic is the shortest deadline at which work may wait for an instance to
+	// minElastic is the shortest target at which work may wait for an instance to
 	// start. It is several times the few minutes that a start and a load take.
 	minElastic = 30 * time.Minute
 )
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -126,7 +126,7 @@
 			if i == 0 {
 				urgent += amount(service, d)
 			}
-			if rank.Deadline < minElastic {
+			if rank.FirstToken < minElastic {
 				firm += amount(service, d)
 			} else {
 				elastic += elasticRate(rank, d, ratio)
@@ -157,7 +157,7 @@
 // within a third of the time left at the usual price, faster at a lower price and
 // slower at a higher one.
 func elasticRate(rank Rank, d Demand, ratio float64) float64 {
-	left := rank.Deadline - elasticMargin
+	left := rank.FirstToken - elasticMargin
 	if d.OldestWait >= left {
 		return d.Waiting / elasticMargin.Seconds()
 	}
@@ -167,7 +167,7 @@
 }
 
 const (
-	// elasticMargin is the time before the deadline by which elastic work should be
+	// elasticMargin is the time before the target by which elastic work should be
 	// done, so that a lost place can still be replaced.
 	elasticMargin = 20 * time.Minute
 	// priceSlope is how strongly elastic work reacts to the price.
--- a/internal/placement/plan_test.go
+++ b/internal/placement/plan_test.go
@@ -15,7 +15,7 @@
 func region(urgent, batch float64) Input {
 	in := Input{
 		Fencing: 7,
-		Ranks:   []Rank{{"Urgent", time.Second, 20 * time.Second}, {"Batch", time.Hour, 6 * time.Hour}},
+		Ranks:   []Rank{{"Urgent", time.Second}, {"Batch", 6 * time.Hour}},
 		Services: []Service{{
 			Name: "llm", Model: "m", Version: "1", WeightBytes: 10e9, AdapterBytes: 1e9,
 		}},
