--- a/internal/entry/placement.go
+++ b/internal/entry/placement.go
@@ -117,7 +117,7 @@
 	}
 	p.refusals = nil
 	for _, r := range v.Index.Config.Ranks {
-		in.Ranks = append(in.Ranks, placement.Rank{Name: r.Name, FirstToken: time.Duration(r.FirstToken), Deadline: time.Duration(r.Deadline)})
+		in.Ranks = append(in.Ranks, placement.Rank{Name: r.Name, FirstToken: time.Duration(r.FirstToken)})
 	}
 	for _, s := range v.Index.Config.Services {
 		service := placement.Service{Name: s.Name, Places: s.Places, Model: s.Name}
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -63,6 +63,7 @@
 		m := s.market(now, &in, service)
 		f := s.newFleet(now, &in, service, &m)
 		n := p.need(service, f)
+		p.recall(service, f, &m, n)
 		p.grow(service, f, &m, n)
 		n = s.peak(now, service.Name, n)
 		if now.Sub(s.began) >= surplusTime { // A new holder does not know the recent need.
@@ -125,7 +126,7 @@
 			if i == 0 {
 				urgent += amount(service, d)
 			}
-			if rank.Deadline < minElastic {
+			if rank.FirstToken < minElastic {
 				firm += amount(service, d)
 			} else {
 				elastic += elasticRate(rank, d, ratio)
@@ -156,7 +157,7 @@
 // within a third of the time left at the usual price, faster at a lower price and
 // slower at a higher one.
 func elasticRate(rank Rank, d Demand, ratio float64) float64 {
-	left := rank.Deadline - elasticMargin
+	left := rank.FirstToken - elasticMargin
 	if d.OldestWait >= left {
 		return d.Waiting / elasticMargin.Seconds()
 	}
@@ -166,7 +167,7 @@
 }
 
 const (
-	// elasticMargin is the time before the deadline by which elastic work should be
+	// elasticMargin is the time before the target by which elastic work should be
 	// done, so that a lost place can still be replaced.
 	elasticMargin = 20 * time.Minute
 	// priceSlope is how strongly elastic work reacts to the price.
@@ -187,6 +188,20 @@
 	return price / p.smooth(p.state.price, service.Name, price, priceMemory)
 }
 
+// recall takes back stops that have not taken effect when the urgent work has grown
+// in the meantime.
+func (p *planner) recall(service Service, f *fleet, m *market, n need) {
+	for _, i := range p.in.Instances {
+		if ready, _ := f.ready(nil); ready >= n.urgent {
+			return
+		}
+		if i.Service == service.Name && i.State == Serving && p.state.stopping[i.ID] != "" {
+			delete(p.state.stopping, i.ID)
+			f.add(m.member(p.now, i))
+		}
+	}
+}
+
 // grow starts instances until the need is met, reclaimable ones first and on-demand
 // ones only for the urgent work.
 func (p *planner) grow(service Service, f *fleet, m *market, n need) {
