--- a/cmd/apricotbridge/main.go
+++ b/cmd/apricotbridge/main.go
@@ -54,6 +54,6 @@
 		SilenceUsage:  true,
 	}
 	root.AddCommand(newServe(), newStandin())
-	root.AddCommand(newCheck(), newApply(), newShow(), newDrain(), newRequest(), newVersion())
+	root.AddCommand(newCheck(), newApply(), newShow(), newDrain(), newRequest(), newVersion(), newBench())
 	return root
 }
