--- a/internal/bench/measures.go
+++ b/internal/bench/measures.go
@@ -3,6 +3,13 @@
 // measures lists every measure.
 var measures = []Measure{
 	{Name: "admission", Short: "ranks, floors and fair shares under floods", Run: runAdmission},
+	{Name: "control", Short: "processor time of the control goroutine against the size of the fleet", Run: measureControl},
+	{Name: "gossip", Short: "bytes between daemons against their number", Run: measureGossip},
+	{Name: "holder", Short: "state of a ledger holder against the keys it keeps", Run: measureHolder},
+	{Name: "keyvalue", Short: "calls to the key-value service against the number of daemons", Run: measureKeyValue},
 	{Name: "ledger", Short: "claims per order against shards with group commit", Run: measureLedger},
+	{Name: "lists", Short: "bytes of the instance list and the engine polls", Run: measureLists},
+	{Name: "memory", Short: "memory of the control state against the size of the fleet", Run: measureMemory},
+	{Name: "spread", Short: "spread of a new configuration over the daemons", Run: measureSpread},
 	{Name: "takeover", Short: "takeover by indexes against reading the whole shard", Run: measureTakeover},
 }
--- /dev/null
+++ b/internal/bench/slopes_test.go
@@ -0,0 +1,20 @@
+package bench
+
+import "testing"
+
+// slopesSeed is fixed, so that a broken bound comes from a change.
+const slopesSeed = 1
+
+// Guards against a change that takes the messages of a daemon over its budget, or
+// the spread of a configuration over 3 s.
+func TestSlopes(t *testing.T) {
+	for _, name := range []string{"gossip", "spread"} {
+		r, err := Run(name, slopesSeed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, f := range r.Broken() {
+			t.Errorf("seed %d: %s %s of %s is %.6g, not %s %.6g", slopesSeed, name, f.Name, f.Policy, f.Value, f.Side, *f.Bound)
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/controlcost.go
@@ -0,0 +1,73 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"apricotbridge/internal/adoption"
+	"apricotbridge/internal/instances"
+	"apricotbridge/internal/membership"
+	"apricotbridge/internal/message"
+	"apricotbridge/internal/settings"
+)
+
+// ControlCost drives the control state of one daemon without its goroutines and
+// its links, so that benchmarks can measure what each kind of event costs.
+type ControlCost struct{ c *controlState }
+
+// NewControlCost returns a control state with a configuration in force.
+func NewControlCost(s *settings.Settings, now time.Time, configuration []byte) *ControlCost {
+	d := New(s, logr.Discard())
+	d.hub = d.newHub(nil)
+	d.dispatcher = d.newDispatcher()
+	d.view.Store(&View{})
+	c := newControlState(d)
+	c.offer(now, adoption.Revision{Number: 1, Value: configuration}, adoption.Source{Kind: adoption.KeyValue})
+	return &ControlCost{c: c}
+}
+
+// List takes an answer of the instance list.
+func (m *ControlCost) List(now time.Time, l instances.List) { m.c.listed(now, now, l) }
+
+// Daemons takes the registrations.
+func (m *ControlCost) Daemons(now time.Time, listed []membership.Daemon) {
+	m.c.daemons.List(now, listed)
+}
+
+// Publish publishes the view, as after each event.
+func (m *ControlCost) Publish(now time.Time) { m.c.publish(now) }
+
+// Rebuild publishes the view with a new routing table.
+func (m *ControlCost) Rebuild(now time.Time) {
+	m.c.stale = true
+	m.c.publish(now)
+}
+
+// Tick does the work that is due on a timer, without the messages to peers.
+func (m *ControlCost) Tick(now time.Time) {
+	m.c.changed(now, m.c.members.Tick(now))
+	m.c.daemons.Tick(now)
+	m.c.publish(now)
+	m.c.d.dispatcher.Tick(now)
+}
+
+// Links chooses the peers to link to.
+func (m *ControlCost) Links(now time.Time) int { return len(m.c.daemons.Links(now)) }
+
+// Digest takes the digest of a peer with an equal member list.
+func (m *ControlCost) Digest(now time.Time, from membership.Daemon) {
+	m.c.compare(now, message.Hello{
+		Daemon: from.ID, Start: from.Start, Place: from.Place, Region: from.Region,
+		PeerAddress: from.PeerAddress, CallerAddress: from.CallerAddress,
+	}, message.Digest{Revision: 1, Members: m.c.members.Hash(), Quarantine: m.c.d.dispatcher.SuspectsHash()})
+}
+
+// Members merges the members of a peer.
+func (m *ControlCost) Members(now time.Time, members message.Members) { m.c.mergeMembers(now, members) }
+
+// Usage merges usage rows of a peer.
+func (m *ControlCost) Usage(now time.Time, u message.Usage) { m.c.mergeUsage(now, u) }
+
+// Status returns what the operator API shows.
+func (m *ControlCost) Status() Status { return m.c.d.status() }
--- a/internal/entry/gossip.go
+++ b/internal/entry/gossip.go
@@ -145,8 +145,7 @@
 func (c *controlState) shareUsage(now time.Time) {
 	x := &c.exchange
 	links := max(1, len(c.d.hub.Peers()))
-	period := time.Duration(len(x.counts)*usageRowBytes*links) * time.Second / usageBytesPerSecond
-	if now.Sub(x.usageAt) < max(digestPeriod, period) {
+	if now.Sub(x.usageAt) < max(digestPeriod, usagePeriod(len(x.counts), links)) {
 		return
 	}
 	x.usageAt = now
@@ -176,6 +175,11 @@
 	}
 }
 
+// usagePeriod is the time in which the given rows may be sent over the links.
+func usagePeriod(rows, links int) time.Duration {
+	return time.Duration(rows*usageRowBytes*links) * time.Second / usageBytesPerSecond
+}
+
 func keyOfCount(u message.UsageCount) countKey {
 	return countKey{u.Daemon, u.Service, u.Rank, u.Organisation}
 }
--- /dev/null
+++ b/internal/entry/periods.go
@@ -0,0 +1,67 @@
+package entry
+
+import (
+	"time"
+
+	"apricotbridge/internal/instances"
+	"apricotbridge/internal/registrar"
+)
+
+// Periods are the paces of a daemon's calls to outside systems at a size of the
+// fleet, for benchmarks.
+type Periods struct {
+	// Renewal is the time between renewals of the registration, Daemons between
+	// lists of the registrations, and Configuration between reads of the
+	// configuration when no peer shows a newer one.
+	Renewal, Daemons, Configuration time.Duration
+	// Instances is the time between reads of the instance list at a relay.
+	Instances time.Duration
+	// Engines is the time between polls of PolledServers servers.
+	Engines       time.Duration
+	PolledServers int
+	// Tail is the mean time between reads of the tail of a ledger shard by each of
+	// ShardCandidates daemons, one of which may hold it.
+	Tail            time.Duration
+	ShardCandidates int
+	// Relays is the number of daemons that read for a place.
+	Relays int
+	// Placement is the time between placement plans.
+	Placement time.Duration
+}
+
+// PeriodsOf returns the paces with the given numbers of daemons, of daemons in the
+// own place, and of servers.
+func PeriodsOf(daemons, near, servers int) Periods {
+	p := Periods{
+		// The loop of registrations turns once a second.
+		Renewal: registrationTick + time.Second, Daemons: daemonsPeriod,
+		Configuration: configurationPoll * time.Duration(max(1, near)),
+		Instances:     listPeriod(instances.List{Instances: make([]instances.Instance, servers)}),
+		Engines:       pollPeriod, PolledServers: min(polledServers, servers),
+		Tail: registrar.TailPeriod, ShardCandidates: min(shardCandidates, daemons),
+		Relays: min(relaysPerPlace, near), Placement: placementPeriod,
+	}
+	if daemons <= readAllDaemons {
+		p.Relays = near
+	}
+	return p
+}
+
+// UsageExchange is the exchange of usage rows at a size of the fleet.
+type UsageExchange struct {
+	// Period is the time between the rounds of a daemon, and RowsPerSecond what it
+	// sends over all links.
+	Period        time.Duration
+	RowsPerSecond float64
+}
+
+// UsageExchangeOf returns the exchange of usage with the given numbers of daemons,
+// of daemons in the own place, of rows for each daemon and of links.
+func UsageExchangeOf(daemons, _, rows, links int) UsageExchange {
+	period := max(digestPeriod, usagePeriod(daemons*rows, links))
+	return UsageExchange{Period: period, RowsPerSecond: float64(daemons*rows*links) / period.Seconds()}
+}
+
+// Staleness is the longest time until usage is known over the given hops: a daemon
+// passes rows on once in a period.
+func (u UsageExchange) Staleness(hops int) time.Duration { return time.Duration(hops) * u.Period }
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -48,6 +48,9 @@
 	// pollsPerLease sets how often the tail of a shard that is held elsewhere is
 	// read.
 	pollsPerLease = 3
+	// TailPeriod is the mean time between two such reads with the default lease; a
+	// wait is between a half and the whole of the poll time.
+	TailPeriod = DefaultLease / pollsPerLease * 3 / 4
 	// maxSubmissions and maxEvents bound the channels of a shard. A submission over
 	// the bound is refused as not run.
 	maxSubmissions = 1024
