bench: measure a daemon against a direct connection

Streams run through a daemon and from the engines directly, alternately, over loopback in one process. Processor time, from getrusage, and memory are differences of the two, so the engines' and readers' part cancels out.

The configurations of the slopes were invalid (a rank needs a first token and a deadline), so the routing table of the control measures was empty. They are valid now and an invalid one is an error.

--- a/internal/bench/control.go
+++ b/internal/bench/control.go
@@ -72,9 +72,8 @@
 		if err != nil {
 			return r, err
 		}
-		now := fleetStart
 		r.Figures = append(r.Figures, clocked("AdoptConfiguration", fmt.Sprintf("%d KB", size>>10), processorTime(func() {
-			entry.NewControlCost(fleetSettings(fleetDaemons(1)[0]), now, text)
+			newControl(text)
 		}), "us"))
 	}
 	text, err := json.Marshal(controlAt(configuration, designDaemons, designServers).Status())
@@ -91,9 +90,19 @@
 	return err
 }
 
+// newControl returns a control state of a daemon. The configurations of the measures
+// are valid, so a fault of theirs is one of the program.
+func newControl(configuration []byte) *entry.ControlCost {
+	m, err := entry.NewControlCost(fleetSettings(fleetDaemons(1)[0]), fleetStart, configuration)
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
 func controlAt(configuration []byte, daemons, servers int) *entry.ControlCost {
 	all := fleetDaemons(daemons)
-	m := entry.NewControlCost(fleetSettings(all[0]), fleetStart, configuration)
+	m := newControl(configuration)
 	m.List(fleetStart, fleetInstances(servers))
 	m.Daemons(fleetStart, all)
 	m.Publish(fleetStart)
@@ -143,11 +152,11 @@
 	add("ControlWithoutTraffic", "design size", total)
 	full := heapOf(func() any {
 		table := tableOf(fleetInstances(designServers))
-		return []any{controlAt(configuration, designDaemons, designServers), routerWith(table, 65536), queueWith(20_000), quarantineWith(4096), usageWith(designDaemons)}
+		return []any{controlAt(configuration, designDaemons, designServers), routerWith(table, 65536), queueWith(20_000), quarantineWith(4096), usageWith(configuration, designDaemons)}
 	})
 	r.Figures = append(r.Figures, within("AllStateAtItsBounds", "design size", full, "bytes", controlBytesOfMemory))
 	for _, n := range daemonSizes {
-		add("UsageRows", at(n, "daemons"), heapOf(func() any { return usageWith(n) }))
+		add("UsageRows", at(n, "daemons"), heapOf(func() any { return usageWith(configuration, n) }))
 	}
 	return r, nil
 }
--- a/internal/bench/fleet.go
+++ b/internal/bench/fleet.go
@@ -90,7 +90,10 @@
 		Name: "capacity", Regions: []config.Region{{Name: "region-1"}, {Name: "region-2"}},
 		Links:   []config.Link{{From: "region-1", To: "region-2", BytesPerSecond: 3_750_000, PricePerGigabyte: 0.09}},
 		Classes: []config.Class{{Name: "accelerator-8", Accelerators: 8, Slots: 32, TokensPerSecond: 2800, PrefillTokensPerSecond: 20_000, CacheTokens: 400_000}},
-		Ranks:   []config.Rank{{Name: "order", Worth: 1, Floor: 0.1}, {Name: "reply", Worth: 0.2, Floor: 0.1}, {Name: "draft", Worth: 0.01, Floor: 0.1}},
+		Ranks: []config.Rank{
+			fleetRank("order", 1900*time.Millisecond, 5*time.Second), fleetRank("reply", 4*time.Second, 20*time.Second),
+			fleetRank("draft", time.Minute, time.Hour),
+		},
 		Services: []config.Service{
 			{Name: "assistant", Kind: config.ServiceKindModel, Models: []string{"assistant-small"}, DefaultRank: "reply", Repeat: config.ServiceRepeatAlways},
 			{Name: "orders", Kind: config.ServiceKindPlain, DefaultRank: "order", Repeat: config.ServiceRepeatNever},
@@ -112,6 +115,10 @@
 	return text, nil
 }
 
+func fleetRank(name string, first, deadline time.Duration) config.Rank {
+	return config.Rank{Name: name, FirstToken: config.Duration(first), Deadline: config.Duration(deadline), Worth: 1, Floor: 0.1}
+}
+
 func fleetSettings(d membership.Daemon) *settings.Settings {
 	return &settings.Settings{Daemon: d.ID, Place: d.Place, Region: d.Region}
 }
--- a/internal/bench/measures.go
+++ b/internal/bench/measures.go
@@ -10,6 +10,7 @@
 	{Name: "ledger", Short: "claims per order against shards with group commit", Run: measureLedger},
 	{Name: "lists", Short: "bytes of the instance list and the engine polls", Run: measureLists},
 	{Name: "memory", Short: "memory of the control state against the size of the fleet", Run: measureMemory},
+	{Name: "overhead", Short: "a daemon against a direct connection, over loopback", Run: measureOverhead},
 	{Name: "spread", Short: "spread of a new configuration over the daemons", Run: measureSpread},
 	{Name: "takeover", Short: "takeover by indexes against reading the whole shard", Run: measureTakeover},
 }
--- a/internal/bench/state.go
+++ b/internal/bench/state.go
@@ -94,8 +94,8 @@
 
 // usageWith returns a control state and an admission queue that know the usage of
 // a number of daemons.
-func usageWith(daemons int) *entry.ControlCost {
-	m := entry.NewControlCost(fleetSettings(fleetDaemons(1)[0]), fleetStart, nil)
+func usageWith(configuration []byte, daemons int) *entry.ControlCost {
+	m := newControl(configuration)
 	for _, d := range fleetDaemons(daemons)[1:] {
 		m.Usage(fleetStart, message.Usage{Counts: usageRows(d.ID, 1)})
 	}
--- a/internal/entry/controlcost.go
+++ b/internal/entry/controlcost.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/juju/errors"
 
 	"apricotbridge/internal/adoption"
 	"apricotbridge/internal/instances"
@@ -17,14 +18,17 @@
 type ControlCost struct{ c *controlState }
 
 // NewControlCost returns a control state with a configuration in force.
-func NewControlCost(s *settings.Settings, now time.Time, configuration []byte) *ControlCost {
+func NewControlCost(s *settings.Settings, now time.Time, configuration []byte) (*ControlCost, error) {
 	d := New(s, logr.Discard())
 	d.hub = d.newHub(nil)
 	d.dispatcher = d.newDispatcher()
 	d.view.Store(&View{})
 	c := newControlState(d)
 	c.offer(now, adoption.Revision{Number: 1, Value: configuration}, adoption.Source{Kind: adoption.KeyValue})
-	return &ControlCost{c: c}
+	if c.view.Index == nil {
+		return nil, errors.NotValidf("configuration: %s", c.view.Alarm)
+	}
+	return &ControlCost{c: c}, nil
 }
 
 // List takes an answer of the instance list.
