--- a/internal/bench/placement_sim.go
+++ b/internal/bench/placement_sim.go
@@ -87,7 +87,7 @@
 
 var traceStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-func at(second int) time.Time { return traceStart.Add(time.Duration(second) * time.Second) }
+func traceTime(second int) time.Time { return traceStart.Add(time.Duration(second) * time.Second) }
 
 // runDay runs a policy until all work is done.
 func runDay(t *dayTrace, policy placementPolicy, seed uint64) dayResult {
@@ -99,7 +99,7 @@
 	for second := -warmSeconds; second < daySeconds+drainSeconds; second++ {
 		s.platform(second)
 		if (second+warmSeconds)%planSeconds == 0 {
-			s.carryOut(second, policy.plan(at(second), s.input(second)))
+			s.carryOut(second, policy.plan(traceTime(second), s.input(second)))
 		}
 		if second >= 0 {
 			s.serve(second)
@@ -154,9 +154,9 @@
 		case i.State == placement.Leaving && second >= i.gone:
 			continue
 		case i.State == placement.Starting && second >= i.boot:
-			i.State, i.Since = placement.Idle, at(second)
+			i.State, i.Since = placement.Idle, traceTime(second)
 		case i.State == placement.Loading && second >= i.loaded:
-			i.State, i.Since = placement.Serving, at(second)
+			i.State, i.Since = placement.Serving, traceTime(second)
 		}
 		if i.State == placement.Serving || i.State == placement.Leaving && second < i.left {
 			s.capacity[i.service] += i.unit
@@ -178,13 +178,13 @@
 		}
 		if used[i.offer]++; used[i.offer] > s.trace.capacity[i.offer][minute(second)] {
 			s.notice(second, i)
-			s.reclaims = append(s.reclaims, placement.Reclaim{Place: i.Place, Class: i.Class, At: at(second), Count: 1, Running: used[i.offer]})
+			s.reclaims = append(s.reclaims, placement.Reclaim{Place: i.Place, Class: i.Class, At: traceTime(second), Count: 1, Running: used[i.offer]})
 		}
 	}
 }
 
 func (s *daySim) notice(second int, i *machine) {
-	i.State, i.Since = placement.Leaving, at(second)
+	i.State, i.Since = placement.Leaving, traceTime(second)
 	i.left, i.gone = second+leaveSeconds, second+noticeSeconds
 	if i.boot > second || i.loaded == 0 || i.loaded > second {
 		i.left = second // It never served.
@@ -230,7 +230,7 @@
 	for c, n := range taken {
 		if n > 0 {
 			s.reclaims = append(s.reclaims, placement.Reclaim{
-				Place: placementPlaces[place], Class: placementClasses[c].Name, At: at(second), Count: n, Running: running[c],
+				Place: placementPlaces[place], Class: placementClasses[c].Name, At: traceTime(second), Count: n, Running: running[c],
 			})
 		}
 	}
@@ -244,7 +244,7 @@
 		Weights: placement.Weights{BytesPerSecond: storeBytesPerSecond, LoadBytesPerSecond: loadBytesPerSecond},
 	}
 	s.refusals = nil
-	for len(s.reclaims) > 0 && at(second).Sub(s.reclaims[0].At) > reclaimMemory {
+	for len(s.reclaims) > 0 && traceTime(second).Sub(s.reclaims[0].At) > reclaimMemory {
 		s.reclaims = s.reclaims[1:]
 	}
 	for _, p := range placementPlaces {
@@ -311,7 +311,7 @@
 		case o.Kind == placement.Stop && i != nil && i.State != placement.Leaving:
 			s.notice(second, i) // It drains for the same time as after a notice.
 		case o.Kind == placement.Load && i != nil && (i.State == placement.Idle || i.State == placement.Serving):
-			i.State, i.Since = placement.Loading, at(second)
+			i.State, i.Since = placement.Loading, traceTime(second)
 			i.Model, i.Adapter, i.Version = o.Model, o.Adapter, o.Version
 			i.loaded = second + int(placementServices[i.service].WeightBytes/loadBytesPerSecond)
 		}
@@ -342,7 +342,7 @@
 	if lost || reclaimable && (second < s.blocked[place] || s.trace.refusing[offer][m] || used >= s.trace.capacity[offer][m]) {
 		s.result.refused++
 		s.refusals = append(s.refusals, placement.Refusal{
-			Token: o.Token, Place: o.Place, Class: o.Class, Reclaimable: o.Reclaimable, At: at(second),
+			Token: o.Token, Place: o.Place, Class: o.Class, Reclaimable: o.Reclaimable, At: traceTime(second),
 		})
 		return
 	}
@@ -354,7 +354,7 @@
 		boot: second + bootSeconds + s.rng.IntN(bootSpread), dies: second + int(s.rng.ExpFloat64()/replaceRate),
 		Instance: placement.Instance{
 			ID: fmt.Sprintf("i-%05d", s.next), Token: o.Token, Service: o.Service, Place: o.Place, Class: o.Class,
-			Reclaimable: reclaimable, State: placement.Starting, Started: at(second), Since: at(second),
+			Reclaimable: reclaimable, State: placement.Starting, Started: traceTime(second), Since: traceTime(second),
 		},
 	})
 }
