placement: run elastic work at a rate that ignores the price

Cause: the rate of elastic work followed the ratio of the price paid to its average over 6 hours.

Ruled out: keeping it for larger price moves, because no measure shows them.

--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -62,7 +62,7 @@
 	for _, service := range in.Services {
 		m := s.market(now, &in, service)
 		f := s.newFleet(now, &in, service, &m)
-		n := p.need(service, f)
+		n := p.need(service)
 		p.recall(service, f, &m, n)
 		p.grow(service, f, &m, n)
 		n = s.peak(now, service.Name, n)
@@ -115,8 +115,7 @@
 	return d.TokensPerSecond
 }
 
-func (p *planner) need(service Service, f *fleet) need {
-	ratio := p.priceRatio(service, f)
+func (p *planner) need(service Service) need {
 	var urgent, firm, elastic float64
 	for i, rank := range p.in.Ranks {
 		for _, d := range p.in.Demand {
@@ -129,11 +128,11 @@
 			if rank.FirstToken < minElastic {
 				firm += amount(service, d)
 			} else {
-				elastic += elasticRate(rank, d, ratio)
+				elastic += elasticRate(rank, d)
 			}
 		}
 	}
-	elastic = p.smooth(p.state.elastic, service.Name, elastic, elasticMemory)
+	elastic = p.smooth(service.Name, elastic)
 	n := need{total: max(firm*(1+headroom), firm+elastic), urgent: urgent * (1 + urgentHeadroom)}
 	n.band = growBand*n.total + elasticBand*elastic
 	if len(service.Places) != 1 && len(p.in.Places) > 1 {
@@ -142,52 +141,37 @@
 	return n
 }
 
-// smooth moves the average of a value on to now and returns it.
-func (p *planner) smooth(averages map[string]float64, name string, value float64, memory time.Duration) float64 {
-	average, ok := averages[name]
+// smooth returns the average rate of elastic work of a service, so that the fleet does
+// not follow each lump of it.
+func (p *planner) smooth(service string, rate float64) float64 {
+	average, ok := p.state.elastic[service]
 	if !ok {
-		average = value
+		average = rate
 	}
-	average += (1 - math.Exp(-p.now.Sub(p.state.seen).Hours()/memory.Hours())) * (value - average)
-	averages[name] = average
+	average += (1 - math.Exp(-p.now.Sub(p.state.seen).Hours()/elasticMemory.Hours())) * (rate - average)
+	p.state.elastic[service] = average
 	return average
 }
 
-// elasticRate is the rate at which to run work that may wait. It empties the queue
-// within a third of the time left at the usual price, faster at a lower price and
-// slower at a higher one.
-func elasticRate(rank Rank, d Demand, ratio float64) float64 {
+// elasticRate is the rate at which to run work that may wait.
+func elasticRate(rank Rank, d Demand) float64 {
 	left := rank.FirstToken - elasticMargin
 	if d.OldestWait >= left {
 		return d.Waiting / elasticMargin.Seconds()
 	}
-	share := 1.0/3 + priceSlope*(ratio-1)
-	share = min(1, max(1.0/8, share))
-	return d.Waiting / (left.Seconds() * share)
+	return elasticShare * d.Waiting / left.Seconds()
 }
 
 const (
 	// elasticMargin is the time before the target by which elastic work should be
 	// done, so that a lost place can still be replaced.
 	elasticMargin = 20 * time.Minute
-	// priceSlope is how strongly elastic work reacts to the price.
-	priceSlope = 2.0
+	// elasticShare is the rate of elastic work relative to the least one that meets
+	// the target. The rest of the time lets a lost place pass. A rate that follows the
+	// price was no cheaper.
+	elasticShare = 3.0
 )
 
-// priceRatio compares the price that the fleet pays per unit with its average.
-func (p *planner) priceRatio(service Service, f *fleet) float64 {
-	var price, capacity float64
-	for _, u := range f.units {
-		price += u.price
-		capacity += u.capacity
-	}
-	if capacity == 0 {
-		return 1
-	}
-	price /= capacity
-	return price / p.smooth(p.state.price, service.Name, price, priceMemory)
-}
-
 // recall takes back stops that have not taken effect when the urgent work has grown
 // in the meantime.
 func (p *planner) recall(service Service, f *fleet, m *market, n need) {
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -22,8 +22,6 @@
 	// startTime is the usual time from a start to a serving instance. A reclaim costs
 	// this time without work at the replacement.
 	startTime = 4 * time.Minute
-	// priceMemory is the averaging time of the price that elastic work compares with.
-	priceMemory = 6 * time.Hour
 )
 
 // key names an offer of one kind.
@@ -55,9 +53,8 @@
 	backoffs map[key]backoff
 	// needs has the needs of each service within the surplus time.
 	needs map[string][]needAt
-	// price is the average of the price per unit that each service pays, and elastic
-	// that of the rate of its elastic work.
-	price, elastic map[string]float64
+	// elastic is the average rate of the elastic work of each service.
+	elastic map[string]float64
 	// began and seen are the times of the first and the last plan.
 	began, seen time.Time
 }
@@ -74,7 +71,7 @@
 	s.starts, s.replaces = map[string]pending{}, map[string]string{}
 	s.stopping, s.backoffs = map[string]string{}, map[key]backoff{}
 	s.needs, s.began = map[string][]needAt{}, now
-	s.price, s.elastic = map[string]float64{}, map[string]float64{}
+	s.elastic = map[string]float64{}
 }
 
 // observe takes in what became of earlier orders.
