entry: don't take a refused or abandoned forward for a dead daemon

A forward that did not start marked its target as not reached for 30 s, also when the caller had cut itself off or the link's queue was full. Resumes at other daemons then got NotFound, and healthy holders of ledger shards counted as gone. Only a failed link marks the target now, and a resume whose daemon is known but not reached is refused with a time to come back instead of NotFound.

Tokens after the one with the finish reason were appended to the answer; they are ignored. An answer whose tokens were all there but whose end was lost was sent to other engines, which had nothing to generate, until it failed as BackendFailed after 4 attempts; it now counts as complete.

--- a/internal/demo/platform.go
+++ b/internal/demo/platform.go
@@ -28,6 +28,9 @@
 	Log       logr.Logger
 	// Seed makes the daemons' tie breaks repeatable.
 	Seed uint64
+	// Adjust changes the settings of each daemon before it starts; nil means no
+	// change.
+	Adjust func(*settings.Settings)
 
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -208,6 +211,9 @@
 		KeyValue:     settings.Remote{Address: "http://" + p.Address("key-value")},
 		InstanceList: settings.Remote{Address: "http://" + p.Address("instances")},
 	}
+	if p.Adjust != nil {
+		p.Adjust(s)
+	}
 	d := entry.New(s, p.Log)
 	d.Seed = p.Seed
 	ctx, cancel := context.WithCancel(p.ctx)
--- a/internal/engine/events.go
+++ b/internal/engine/events.go
@@ -56,8 +56,8 @@
 			if err != nil {
 				return err
 			}
-			if t.Number <= after {
-				continue
+			if t.Number <= after || finished {
+				continue // Repeated, or sent after the token that finished the answer.
 			}
 			if t.Number != after+1 {
 				return errors.Annotatef(ErrBroken, "token %d follows token %d", t.Number, after)
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -121,10 +121,22 @@
 	return nil
 }
 
+// complete reports whether all tokens are there: the engine named the last one, or
+// there are as many as were asked for. Another attempt would have nothing to
+// generate, whatever happened to the end of the stream.
+func (a *answer) complete() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.finish != "" || a.maxTokens > 0 && a.buffer.Last() >= int64(a.maxTokens)
+}
+
 // end completes the answer when the attempt delivered it whole.
 func (a *answer) end(attempt int) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.finish == "" && a.maxTokens > 0 && a.buffer.Last() >= int64(a.maxTokens) {
+		a.finish = "length"
+	}
 	if a.finish == "" || a.buffer.End(attempt, a.buffer.Last()) != stream.Accepted {
 		a.buffer.Fail(attempt)
 		return false
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -164,14 +164,14 @@
 	ending := dispatch.Broken
 	for resumes := 0; err != nil; resumes++ {
 		ending = d.endingOf(ctx, err, server)
-		if ending != dispatch.Broken || resumes >= maxResumes || !errors.Is(err, engine.ErrBroken) {
+		if ending != dispatch.Broken || resumes >= maxResumes || !errors.Is(err, engine.ErrBroken) || a.complete() {
 			break
 		}
 		// The engine is there and keeps the stream for a while.
 		d.Log.Info("stream resumed at its engine", "RequestID", call.id, "Server", server.ID, "After", s.generated, "Error", err.Error())
 		err = d.Engine.Resume(ctx, server.Address, s.id, s.generated, s.token)
 	}
-	if err == nil && a.end(number) {
+	if (err == nil || a.complete()) && a.end(number) {
 		d.finishWork(call, a, s.generated-s.prior, s.load)
 		return 0, nil
 	}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -66,7 +66,8 @@
 	var call *peer.CallError
 	started := errors.As(err, &call) && call.Started
 	d.Log.Info("forward failed", "RequestID", c.id, "Peer", owner, "Started", started, "Error", err.Error())
-	if !started {
+	if !started && r.Context().Err() == nil && !errors.Is(err, peer.ErrQueueFull) && !errors.Is(err, peer.ErrRefused) {
+		// A caller that cut itself off says nothing of the peer, nor does a refusal.
 		d.tell(func(c *controlState, now time.Time) { c.broken(now, owner) })
 	}
 	if !started || r.Method == http.MethodGet {
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -189,7 +189,7 @@
 	err := d.Engine.Resume(ctx, before.server.Address, before.stream, len(prior), func(t engine.Token) error {
 		return a.append(number, t)
 	})
-	if err == nil && a.end(number) {
+	if (err == nil || a.complete()) && a.end(number) {
 		return true
 	}
 	a.fail(number)
--- a/internal/entry/sse.go
+++ b/internal/entry/sse.go
@@ -98,6 +98,9 @@
 	if taker != d.Settings.Daemon && d.alive(taker) {
 		return d.forward(w, r, c, taker, nil, nil)
 	}
+	if _, known := c.view.daemon(taker); known && taker != d.Settings.Daemon {
+		return notHere("the daemon that took the request is not reached") // It may be again.
+	}
 	return problem.New(problem.NotFound, "request %q is not known", id)
 }
 
