--- a/cmd/apricotbridge/orders_process_test.go
+++ b/cmd/apricotbridge/orders_process_test.go
@@ -195,10 +195,11 @@
 	return history
 }
 
-// disturb brings about one failure and waits until it is over.
-func (f *orderFleet) disturb(what string, random *rand.Rand) {
+// disturb brings about one failure at a random daemon, which it returns, and waits
+// until it is over.
+func (f *orderFleet) disturb(what string, random *rand.Rand) (i int) {
 	f.t.Helper()
-	i := random.IntN(len(f.ids))
+	i = random.IntN(len(f.ids))
 	p := f.daemon(i)
 	switch what {
 	case "kill":
@@ -224,9 +225,10 @@
 		f.faults(standin.Faults{LoseAnswers: 0.4}, 2*time.Second)
 	case "outage and kill":
 		f.control(http.MethodPost, f.kv+"/faults", faultsOf(f.t, standin.Faults{Down: true}))
-		f.disturb("kill", random)
+		i = f.disturb("kill", random)
 		f.control(http.MethodPost, f.kv+"/faults", faultsOf(f.t, standin.Faults{LoseAnswers: 0.2}))
 	}
+	return i
 }
 
 func (f *orderFleet) faults(faults standin.Faults, span time.Duration) {
