--- a/internal/demo/placement_test.go
+++ b/internal/demo/placement_test.go
@@ -50,7 +50,7 @@
 	if _, err := p.serve("cloud", api.Handler()); err != nil {
 		t.Fatal(err)
 	}
-	p.Configure = func(s *settings.Settings) { s.Cloud = &settings.Remote{Address: "http://" + p.Address("cloud")} }
+	p.Adjust = func(s *settings.Settings) { s.Cloud = &settings.Remote{Address: "http://" + p.Address("cloud")} }
 	for i := range 2 {
 		if _, err := p.StartDaemon(fmt.Sprintf("daemon-%d", i), "asan", "bagmati"); err != nil {
 			t.Fatal(err)
--- a/internal/demo/platform.go
+++ b/internal/demo/platform.go
@@ -28,8 +28,9 @@
 	Log       logr.Logger
 	// Seed makes the daemons' tie breaks repeatable.
 	Seed uint64
-	// Configure changes the settings of a daemon before its start; nil means none.
-	Configure func(s *settings.Settings)
+	// Adjust changes the settings of each daemon before it starts; nil means no
+	// change.
+	Adjust func(*settings.Settings)
 
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -210,8 +211,8 @@
 		KeyValue:     settings.Remote{Address: "http://" + p.Address("key-value")},
 		InstanceList: settings.Remote{Address: "http://" + p.Address("instances")},
 	}
-	if p.Configure != nil {
-		p.Configure(s)
+	if p.Adjust != nil {
+		p.Adjust(s)
 	}
 	d := entry.New(s, p.Log)
 	d.Seed = p.Seed
