entry: list registrations, poll the configuration and read instances by size

While a known daemon is missing, and after a list that failed, the next one comes after 9 s, so that daemons which register anew after an outage are seen within the grace time of 30 s.

Ruled out: lists at the relays alone, because the others would never remove a dead daemon; a watch of the registrations, which costs 380 waiting reads.

The fleet of the measures now has irregular ids, because regular ones compressed to 10 bytes each.

--- a/internal/bench/calls.go
+++ b/internal/bench/calls.go
@@ -33,7 +33,7 @@
 	for _, n := range daemonSizes {
 		of := at(n, "daemons")
 		near := (n + designPlaces - 1) / designPlaces
-		p := entry.PeriodsOf(n, near, designServers)
+		p := entry.PeriodsOf(n, near, designServers, designConfigurationBytes)
 		add := func(name string, value float64, unit string) float64 {
 			r.Figures = append(r.Figures, Figure{Name: name, Policy: of, Value: value, Unit: unit})
 			return value
--- a/internal/bench/fleet.go
+++ b/internal/bench/fleet.go
@@ -8,6 +8,8 @@
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"apricotbridge/internal/instances"
 	"apricotbridge/internal/membership"
 	"apricotbridge/internal/settings"
@@ -63,10 +65,14 @@
 	l := instances.List{AsOf: fleetStart, Instances: make([]instances.Instance, n)}
 	for i := range l.Instances {
 		place, region := placeOf(i)
+		// Ids, addresses and start times are as irregular as real ones, because
+		// regular ones would compress too well.
+		random := xxhash.Sum64String(fmt.Sprint("instance-", i))
+		started := fleetStart.Add(-time.Duration(random % uint64(30*24*time.Hour)))
 		l.Instances[i] = instances.Instance{
-			ID: fmt.Sprintf("instance-%s-%05d", place, i), Address: fmt.Sprintf("10.%d.%d.%d:8000", 100+i%designPlaces, i/250, i%250),
-			Incarnation: fleetStart.UnixNano() + int64(i), Place: place, Region: region, Class: "accelerator-8", Service: "assistant",
-			State: instances.Live, Price: 9.5, Reclaimable: i%100 < 82, Since: fleetStart,
+			ID: fmt.Sprintf("i-%016x", random), Address: fmt.Sprintf("10.%d.%d.%d:8000", 100+i%designPlaces, random%64, random>>8%256),
+			Incarnation: started.UnixNano(), Place: place, Region: region, Class: "accelerator-8", Service: "assistant",
+			State: instances.Live, Price: 9.5 + float64(random%90)/100, Reclaimable: i%100 < 82, Since: started,
 		}
 	}
 	return l
--- a/internal/bench/lists.go
+++ b/internal/bench/lists.go
@@ -93,7 +93,7 @@
 			return r, err
 		}
 		of := at(n, "servers")
-		p := entry.PeriodsOf(designDaemons, designDaemons/designPlaces, n)
+		p := entry.PeriodsOf(designDaemons, designDaemons/designPlaces, n, designConfigurationBytes)
 		r.Figures = append(
 			r.Figures, Figure{Name: "InstanceList", Policy: of, Value: one, Unit: "bytes"},
 			Figure{Name: "InstancePeriod", Policy: of, Value: p.Instances.Seconds(), Unit: "s"},
@@ -128,7 +128,7 @@
 	before := bytes.Load()
 	poll()
 	one := float64(bytes.Load() - before)
-	p := entry.PeriodsOf(designDaemons, designDaemons/designPlaces, designServers)
+	p := entry.PeriodsOf(designDaemons, designDaemons/designPlaces, designServers, designConfigurationBytes)
 	rate := float64(p.PolledServers) / p.Engines.Seconds()
 	return []Figure{
 		{Name: "EnginePoll", Policy: "load and events", Value: one, Unit: "bytes"},
--- a/internal/bench/slopes_test.go
+++ b/internal/bench/slopes_test.go
@@ -5,10 +5,10 @@
 // slopesSeed is fixed, so that a broken bound comes from a change.
 const slopesSeed = 1
 
-// Guards against a change that takes the messages of a daemon over its budget, or
+// Guards against a change that takes the messages or lists of a daemon over its budget, or
 // the spread of a configuration over 3 s.
 func TestSlopes(t *testing.T) {
-	for _, name := range []string{"gossip", "spread"} {
+	for _, name := range []string{"gossip", "spread", "lists"} {
 		r, err := Run(name, slopesSeed)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/entry/adopt.go
+++ b/internal/entry/adopt.go
@@ -16,8 +16,19 @@
 )
 
 // configurationPoll is how often each daemon of a data centre reads the key when
-// no peer showed a newer revision, for each daemon there.
-const configurationPoll = 500 * time.Millisecond
+// no peer showed a newer revision, for each daemon there. The poll serves a place
+// whose relays have died; pushes and digests carry all other changes. Reads are no
+// more often than configurationPollBytes a second allow: six daemons that read 50 KB
+// every 500 ms would receive 100 KB/s each.
+const (
+	configurationPoll      = 500 * time.Millisecond
+	configurationPollBytes = 2 << 10
+)
+
+// pollAfter returns the time between reads of a configuration of the given size.
+func pollAfter(near, size int) time.Duration {
+	return max(configurationPoll*time.Duration(max(1, near)), time.Duration(size)*time.Second/configurationPollBytes)
+}
 
 // newAdoption returns the state that decides which configuration is in force.
 func newAdoption(d *Daemon) adoption.State {
@@ -96,7 +107,7 @@
 		}
 		return 1
 	})
-	c.adoption.Poll = configurationPoll * time.Duration(max(1, near))
+	c.adoption.Poll = pollAfter(near, len(c.adoption.Held().Value))
 	c.adoption.SetPeers(peers)
 }
 
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -120,6 +120,7 @@
 		c.daemonsVersion, c.daemonsAt = version, now
 		c.publishDaemons(now)
 	}
+	c.view.missing = c.daemons.Missing()
 	if c.stale || c.view.Table == nil {
 		c.stale = false
 		c.view.Members = c.members.Snapshot()
--- a/internal/entry/control_test.go
+++ b/internal/entry/control_test.go
@@ -52,3 +52,28 @@
 	c.daemons.Drain()
 	check("own drain", 2)
 }
+
+// Guards against lists of registrations over 3 KB/s in a large fleet, and against a
+// slow list after an outage, when all daemons are missing and register anew: they
+// must be seen again before the grace time ends.
+func TestListAfter(t *testing.T) {
+	for _, c := range []struct {
+		daemons int
+		again   bool
+		want    time.Duration
+	}{{0, false, 5 * time.Second}, {6, true, 5 * time.Second}, {380, false, 47500 * time.Millisecond}, {380, true, 9 * time.Second}} {
+		if got := listAfter(c.daemons, c.again); got != c.want {
+			t.Errorf("%d daemons, again %v: %v, want %v", c.daemons, c.again, got, c.want)
+		}
+	}
+	now := time.Unix(1_800_000_000, 0)
+	c := control(t, now, "b", "c")
+	c.daemons.List(now, nil)
+	c.publish(now)
+	if n := c.d.view.Load().missing; n != 3 {
+		t.Errorf("%d daemons missing, want 3", n)
+	}
+	if relistPeriod+registrationTick+2*time.Second >= membership.DaemonGrace {
+		t.Error("a daemon that registers anew after an outage is removed before the next list")
+	}
+}
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -22,7 +22,14 @@
 	registrationTTL  = 30 * time.Second
 	registrationTick = 10 * time.Second
 	daemonsPeriod    = 5 * time.Second
-	pollPeriod       = time.Second
+	// registrationsPerSecond bounds the rows of the listed registrations. A row takes
+	// 369 bytes, so that the lists take 3 KB/s; 380 rows each 5 s would take 28 KB/s.
+	registrationsPerSecond = 8
+	// relistPeriod is the time to the next list after one that failed or lacked a
+	// known daemon. It is under a third of membership.DaemonGrace, so that daemons which
+	// register anew after an outage are seen before they are removed.
+	relistPeriod = 9 * time.Second
+	pollPeriod   = time.Second
 	// polledServers is the subset of backend servers that a daemon polls. Polling
 	// all 920 each second would take 37 KB/s, over the 17 KB/s for control.
 	polledServers = 16
@@ -65,10 +72,11 @@
 	return ctx.Err()
 }
 
-// listPeriod keeps the transfer of the list under half of the 17 KB/s for
-// control: a compressed instance takes about 20 bytes.
+// listPeriod keeps the transfer of the list at a relay near 6 of the 17 KB/s for
+// control: a compressed instance takes 41 bytes. The relays read at different moments,
+// so that with 12 of them some relay sees a change twelve times sooner.
 func listPeriod(l instances.List) time.Duration {
-	const instancesPerSecond = 400
+	const instancesPerSecond = 150
 	return max(instancePeriod, time.Duration(len(l.Instances))*time.Second/instancesPerSecond)
 }
 
@@ -77,7 +85,7 @@
 func (d *Daemon) register(ctx context.Context) error {
 	lease := "daemon-" + d.Settings.Daemon
 	var renewed, listed time.Time
-	written := Registration{}
+	written, again := Registration{}, false
 	for ctx.Err() == nil {
 		now := time.Now()
 		if now.Sub(renewed) > registrationTick && d.KeyValue.Grant(ctx, lease, registrationTTL) == nil {
@@ -91,8 +99,8 @@
 				written = want
 			}
 		}
-		if now.Sub(listed) >= daemonsPeriod || listed.IsZero() {
-			d.listDaemons(ctx)
+		if v := d.view.Load(); now.Sub(listed) >= listAfter(len(v.Daemons), again || v.missing > 0) {
+			again = d.listDaemons(ctx) != nil
 			listed = now
 		}
 		select {
@@ -105,10 +113,21 @@
 	return ctx.Err()
 }
 
-func (d *Daemon) listDaemons(ctx context.Context) {
+// listAfter returns the time between two lists of registrations with the given
+// number of daemons. Peers tell of new and leaving daemons sooner; the list removes
+// those that died.
+func listAfter(daemons int, again bool) time.Duration {
+	period := max(daemonsPeriod, time.Duration(daemons)*time.Second/registrationsPerSecond)
+	if again {
+		return min(period, relistPeriod)
+	}
+	return period
+}
+
+func (d *Daemon) listDaemons(ctx context.Context) error {
 	entries, _, err := d.KeyValue.List(ctx, registrationPrefix)
 	if err != nil {
-		return // The next turn tries again; peers tell the rest.
+		return err
 	}
 	var listed []membership.Daemon
 	for _, e := range entries {
@@ -123,6 +142,7 @@
 		})
 	}
 	d.post(ctx, func(c *controlState, now time.Time) { c.daemons.List(now, listed) })
+	return nil
 }
 
 func (d *Daemon) registration() Registration {
--- a/internal/entry/periods.go
+++ b/internal/entry/periods.go
@@ -30,12 +30,12 @@
 }
 
 // PeriodsOf returns the paces with the given numbers of daemons, of daemons in the
-// own place, and of servers.
-func PeriodsOf(daemons, near, servers int) Periods {
+// own place, and of servers, and the bytes of the configuration.
+func PeriodsOf(daemons, near, servers, configuration int) Periods {
 	p := Periods{
 		// The loop of registrations turns once a second.
-		Renewal: registrationTick + time.Second, Daemons: daemonsPeriod,
-		Configuration: configurationPoll * time.Duration(max(1, near)),
+		Renewal: registrationTick + time.Second, Daemons: listAfter(daemons, false),
+		Configuration: pollAfter(near, configuration),
 		Instances:     listPeriod(instances.List{Instances: make([]instances.Instance, servers)}),
 		Engines:       pollPeriod, PolledServers: min(polledServers, servers),
 		Tail: registrar.TailPeriod, ShardCandidates: min(shardCandidates, daemons),
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -25,6 +25,8 @@
 	Table     *routing.Table
 	// Daemons are all known daemons, this one included.
 	Daemons []membership.Daemon
+	// missing is how many daemons the last list of registrations lacked.
+	missing int
 	// reached are the ids of the daemons whose links have not broken of late.
 	reached map[string]bool
 	// Entries are the daemons that callers of this place should use, in order.
--- a/internal/membership/daemons.go
+++ b/internal/membership/daemons.go
@@ -179,6 +179,17 @@
 	s.Tick(now)
 }
 
+// Missing returns how many known daemons the last list lacked.
+func (s *Daemons) Missing() int {
+	n := 0
+	for _, k := range s.known {
+		if !k.missing.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
 // Tick removes the daemons that stayed absent and unheard for the grace time. It
 // removes none while the key-value service can't be listed, so that an outage
 // does not empty the set.
--- a/internal/standin/instances.go
+++ b/internal/standin/instances.go
@@ -1,9 +1,11 @@
 package standin
 
 import (
+	"compress/gzip"
 	"encoding/json"
 	"net/http"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 
@@ -99,7 +101,7 @@
 // replaces the faults in force.
 func (l *Instances) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/instances", func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("GET /v1/instances", func(w http.ResponseWriter, r *http.Request) {
 		l.mu.Lock()
 		down := l.faults.Down
 		l.mu.Unlock()
@@ -107,7 +109,15 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		reply(w, l.List(), nil)
+		if !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+			reply(w, l.List(), nil)
+			return
+		}
+		w.Header().Set("Content-Encoding", "gzip")
+		w.Header().Set("Content-Type", "application/json")
+		z := gzip.NewWriter(w)
+		_ = json.NewEncoder(z).Encode(l.List()) // A reader that has gone needs no answer.
+		_ = z.Close()
 	})
 	mux.HandleFunc("POST /faults", setFaults(l.SetFaults))
 	mux.HandleFunc("PUT /instances", func(w http.ResponseWriter, r *http.Request) {
