usage: sum the usage over a tree in place of an exchange of all rows

Each daemon passed on the rows of all daemons within 6 KB/s. A row took 150 bytes and not the 90 of the constant, so the exchange used 10.3 KB/s.

The daemons of a place now form a tree with a fan-out of four by rendezvous weight. Each passes the sum of its subtree to its parent, the roots exchange the sums of their places, and the sums of the regions go down. Admission gets one report for each region with the number of daemons that it sums, less the own part; placement reads the sums of its region. A region that is not heard is left out of the reports, so that its last demand keeps counting while the regions are parted. A parent has a higher weight than its children, so that views which differ make no cycle; a dead parent is passed over.

State is 20 rows for each child, place and region instead of 7,600.

Ruled out: a row for each data centre made by its relays beside all rows of the own place: 63 daemons of 20 rows are still 1,260 rows on each of 12 links.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -153,7 +153,7 @@
 	nextDue  time.Time
 	dropped  []Dropped
 	peers    map[peerKey]peerCount
-	daemons  map[string]time.Time // when a peer's usage was last heard
+	daemons  map[string]heard
 	refused  map[problem.Kind]uint64
 	// recomputed counts tokens computed again for requests that were returned.
 	recomputed uint64
@@ -226,7 +226,7 @@
 	q.poolOf = make(map[string]*pool)
 	q.items = make(map[string]*item)
 	q.peers = make(map[peerKey]peerCount)
-	q.daemons = make(map[string]time.Time)
+	q.daemons = make(map[string]heard)
 	q.refused = make(map[problem.Kind]uint64)
 }
 
--- a/internal/admission/usage.go
+++ b/internal/admission/usage.go
@@ -12,7 +12,9 @@
 // service. Tokens and Requests count from the start of the daemon, so that lost
 // and repeated reports do no harm.
 type PeerUsage struct {
-	Daemon       string
+	Daemon string
+	// Daemons is how many daemons a report sums; 0 means one.
+	Daemons      int
 	Organisation string
 	Rank         string
 	Service      string
@@ -29,6 +31,12 @@
 
 type peerKey struct{ daemon, service, rank, organisation string }
 
+// heard is when a peer's usage was last heard, and how many daemons it sums.
+type heard struct {
+	at      time.Time
+	daemons int
+}
+
 type peerCount struct {
 	sequence int64
 	tokens   float64
@@ -69,15 +77,15 @@
 		}
 	}
 	for _, u := range reports {
-		if at := now.Add(-u.Age); u.Daemon != q.Daemon && at.After(q.daemons[u.Daemon]) {
-			q.daemons[u.Daemon] = at // A relayed report may be older than a direct one.
+		if at := now.Add(-u.Age); u.Daemon != q.Daemon && at.After(q.daemons[u.Daemon].at) {
+			q.daemons[u.Daemon] = heard{at, max(1, u.Daemons)} // A relayed report may be older than a direct one.
 		}
 	}
 	q.forget(now)
 	live := 1
-	for _, at := range q.daemons {
-		if now.Sub(at) <= q.StaleAfter {
-			live++
+	for _, h := range q.daemons {
+		if now.Sub(h.at) <= q.StaleAfter {
+			live += h.daemons
 		}
 	}
 	for _, p := range q.pools {
@@ -91,8 +99,8 @@
 // replaced daemons don't fill the memory.
 func (q *Queue) forget(now time.Time) {
 	gone := false
-	for daemon, at := range q.daemons {
-		if now.Sub(at) > forgetAfter {
+	for daemon, h := range q.daemons {
+		if now.Sub(h.at) > forgetAfter {
 			delete(q.daemons, daemon)
 			gone = true
 		}
--- a/internal/bench/gossip.go
+++ b/internal/bench/gossip.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 
-	"apricotbridge/internal/entry"
 	"apricotbridge/internal/membership"
 	"apricotbridge/internal/message"
 )
@@ -92,7 +91,7 @@
 	for _, m := range fleetMembers(designServers) {
 		members.Members = append(members.Members, m.Message())
 	}
-	rows := usageRows("entry-place-1-0001", 1)
+	rows := usageRows(1)
 	row := (sized(message.KindUsage, message.Usage{Counts: rows}) - sized(message.KindUsage, message.Usage{Counts: rows[:1]})) / float64(len(rows)-1)
 	r.Figures = append(
 		r.Figures, Figure{Name: "Digest", Policy: "message", Value: digest, Unit: "bytes"},
@@ -128,12 +127,7 @@
 		one := sized(message.KindMembers, message.Members{Members: members.Members[:1]})
 		add("MemberBytes", highest*one*4*292/secondsPerDay, "bytes/s")
 
-		u := entry.UsageExchangeOf(n, n/designPlaces, len(rows), int(highest))
-		usage := u.RowsPerSecond * row
-		add("UsagePeriod", u.Period.Seconds(), "s")
-		add("UsageBytes", usage, "bytes/s")
-		add("UsageStaleness", u.Staleness(int(diameter)).Seconds(), "s")
-		r.Figures = append(r.Figures, within("GossipBytes", of, highest*digest+usage, "bytes/s", controlBytesPerSecond))
+		r.Figures = append(r.Figures, within("GossipBytes", of, highest*digest+usageBytes, "bytes/s", controlBytesPerSecond))
 	}
 	return r, nil
 }
--- a/internal/bench/measures.go
+++ b/internal/bench/measures.go
@@ -13,4 +13,5 @@
 	{Name: "overhead", Short: "a daemon against a direct connection, over loopback", Run: measureOverhead},
 	{Name: "spread", Short: "spread of a new configuration over the daemons", Run: measureSpread},
 	{Name: "takeover", Short: "takeover by indexes against reading the whole shard", Run: measureTakeover},
+	{Name: "usage", Short: "bytes and age of the sums of usage against the number of daemons", Run: measureUsage},
 }
--- a/internal/bench/slopes_test.go
+++ b/internal/bench/slopes_test.go
@@ -8,7 +8,7 @@
 // Guards against a change that takes the messages or lists of a daemon over its budget, or
 // the spread of a configuration over 3 s.
 func TestSlopes(t *testing.T) {
-	for _, name := range []string{"gossip", "spread", "lists"} {
+	for _, name := range []string{"gossip", "spread", "lists", "usage"} {
 		r, err := Run(name, slopesSeed)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/bench/state.go
+++ b/internal/bench/state.go
@@ -79,25 +79,33 @@
 
 // usageRows are the rows of one daemon: 5 organisations use 3 ranks of the model
 // service and one of the order service.
-func usageRows(daemon string, sequence int64) []message.UsageCount {
+func usageRows(sequence int64) []message.UsageCount {
 	var rows []message.UsageCount
 	for o := range 5 {
 		for _, of := range [][2]string{{"order", "assistant"}, {"reply", "assistant"}, {"draft", "assistant"}, {"order", "orders"}} {
 			rows = append(rows, message.UsageCount{
-				Daemon: daemon, Organisation: fmt.Sprintf("organisation-%03d", o), Rank: of[0], Service: of[1],
-				Requests: uint64(123_456 + sequence), Offered: 4.3e7 + 0.5, Tokens: 4.2e7 + float64(sequence), Sequence: fleetStart.UnixNano() + sequence,
+				Organisation: fmt.Sprintf("organisation-%03d", o), Rank: of[0], Service: of[1],
+				Requests: uint64(123_456 + sequence), Offered: 4.3e7 + 0.5, Tokens: 4.2e7 + float64(sequence),
 			})
 		}
 	}
 	return rows
 }
 
-// usageWith returns a control state and an admission queue that know the usage of
-// a number of daemons.
+// usageWith returns a control state and an admission queue at the root of a place
+// that know the usage of their children, of the other places and of the regions.
 func usageWith(configuration []byte, daemons int) *entry.ControlCost {
 	m := newControl(configuration)
-	for _, d := range fleetDaemons(daemons)[1:] {
-		m.Usage(fleetStart, message.Usage{Counts: usageRows(d.ID, 1)})
+	all := fleetDaemons(daemons)
+	m.Daemons(fleetStart, all)
+	m.Publish(fleetStart)
+	for i, d := range all[1:min(len(all), 10)] {
+		u := message.Usage{Scope: message.UsageScopeSubtree, Counts: usageRows(1)}
+		if i >= 4 {
+			u = message.Usage{Scope: message.UsageScopePlace, Name: d.Region + "/" + d.Place, Counts: usageRows(1)}
+		}
+		m.Usage(fleetStart, d.ID, u)
 	}
+	m.Tick(fleetStart)
 	return m
 }
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -109,6 +109,7 @@
 	c.daemons.Tick(now)
 	c.act(c.adoption.Tick(now))
 	c.gossip(now)
+	c.shareUsage(now)
 	if !c.suspicion.IsZero() && now.After(c.suspicion) {
 		c.stale, c.suspicion = true, time.Time{}
 	}
--- a/internal/entry/controlcost.go
+++ b/internal/entry/controlcost.go
@@ -70,8 +70,10 @@
 // Members merges the members of a peer.
 func (m *ControlCost) Members(now time.Time, members message.Members) { m.c.mergeMembers(now, members) }
 
-// Usage merges usage rows of a peer.
-func (m *ControlCost) Usage(now time.Time, u message.Usage) { m.c.mergeUsage(now, u) }
+// Usage merges the usage that a peer reports.
+func (m *ControlCost) Usage(now time.Time, from string, u message.Usage) {
+	m.c.mergeUsage(now, from, u)
+}
 
 // Status returns what the operator API shows.
 func (m *ControlCost) Status() Status { return m.c.d.status() }
--- a/internal/entry/gossip.go
+++ b/internal/entry/gossip.go
@@ -4,11 +4,11 @@
 	"net"
 	"time"
 
-	"apricotbridge/internal/admission"
 	"apricotbridge/internal/adoption"
 	"apricotbridge/internal/membership"
 	"apricotbridge/internal/message"
 	"apricotbridge/internal/peer"
+	"apricotbridge/internal/usage"
 )
 
 const (
@@ -16,27 +16,17 @@
 	// recentMembers is how far back a first repair of member states reaches. A full
 	// snapshot of 920 servers takes about 100 KB.
 	recentMembers = 30 * time.Second
-	// usageBytesPerSecond is the part of the 17 KB/s for control that the exchange
-	// of usage may take, and usageRowBytes the size of one row.
-	usageBytesPerSecond = 6 << 10
-	usageRowBytes       = 90
 )
 
 // exchange is what the control goroutine keeps of its exchange with peers.
 type exchange struct {
 	digestAt time.Time
-	usageAt  time.Time
-	// counts are the usage rows of all daemons, own ones included, and sent the
-	// sequence of each row that was passed on last.
-	counts map[countKey]message.UsageCount
-	sent   map[countKey]int64
+	usage    usage.Tree
 	// repaired is when a peer was last sent a full member list.
 	repaired map[string]time.Time
 	suspects uint64
 }
 
-type countKey struct{ daemon, service, rank, organisation string }
-
 // newHub returns the links to other daemons.
 func (d *Daemon) newHub(l net.Listener) *peer.Hub {
 	self := d.self()
@@ -88,6 +78,9 @@
 	}
 	c.exchange.digestAt = now
 	var targets []peer.Target
+	for _, other := range c.usageLinks() {
+		targets = append(targets, peer.Target{ID: other.ID, Address: other.PeerAddress})
+	}
 	for _, other := range c.daemons.Links(now) {
 		targets = append(targets, peer.Target{ID: other.ID, Address: other.PeerAddress})
 	}
@@ -100,7 +93,6 @@
 		Revision: c.adoption.Shown(), Members: c.members.Hash(), Quarantine: c.d.dispatcher.SuspectsHash(), Draining: c.view.Draining,
 	})
 	c.pushSuspects()
-	c.shareUsage(now)
 }
 
 // send sends a message to all linked peers but one. What a full queue drops is
@@ -139,51 +131,6 @@
 	}
 }
 
-// shareUsage passes on the rows that have changed, own and learned. The period
-// grows with the number of rows, so that the exchange stays within its part of
-// the budget.
-func (c *controlState) shareUsage(now time.Time) {
-	x := &c.exchange
-	links := max(1, len(c.d.hub.Peers()))
-	if now.Sub(x.usageAt) < max(digestPeriod, usagePeriod(len(x.counts), links)) {
-		return
-	}
-	x.usageAt = now
-	if x.counts == nil {
-		x.counts, x.sent = map[countKey]message.UsageCount{}, map[countKey]int64{}
-	}
-	for _, u := range c.d.dispatcher.Usage(now, nil) {
-		row := message.UsageCount{
-			Daemon: u.Daemon, Organisation: u.Organisation, Rank: u.Rank, Service: u.Service,
-			Requests: u.Requests, Offered: u.Offered, Tokens: u.Tokens, Sequence: u.Sequence,
-		}
-		key := keyOfCount(row)
-		if last, ok := x.counts[key]; !ok || last.Tokens != row.Tokens || last.Requests != row.Requests {
-			x.counts[key] = row
-		}
-	}
-	c.view.usage = cloneMap(x.counts)
-	var changed message.Usage
-	for key, row := range x.counts {
-		if x.sent[key] != row.Sequence {
-			x.sent[key] = row.Sequence
-			changed.Counts = append(changed.Counts, row)
-		}
-	}
-	if len(changed.Counts) > 0 {
-		send(c, "", message.KindUsage, changed)
-	}
-}
-
-// usagePeriod is the time in which the given rows may be sent over the links.
-func usagePeriod(rows, links int) time.Duration {
-	return time.Duration(rows*usageRowBytes*links) * time.Second / usageBytesPerSecond
-}
-
-func keyOfCount(u message.UsageCount) countKey {
-	return countKey{u.Daemon, u.Service, u.Rank, u.Organisation}
-}
-
 // handlePeer takes the messages of peers. It runs in the link's goroutine, so it
 // only decodes and hands on.
 func (d *Daemon) handlePeer(from message.Hello, e message.Envelope) {
@@ -203,7 +150,7 @@
 	case message.KindMembers:
 		handle(d, e, func(c *controlState, now time.Time, m message.Members) { c.mergeMembers(now, m) })
 	case message.KindUsage:
-		handle(d, e, func(c *controlState, now time.Time, m message.Usage) { c.mergeUsage(now, m) })
+		handle(d, e, func(c *controlState, now time.Time, m message.Usage) { c.mergeUsage(now, from.Daemon, m) })
 	case message.KindQuarantine:
 		handle(d, e, func(c *controlState, now time.Time, m message.Quarantine) {
 			if c.d.dispatcher.MergeSuspects(now, m.Suspects) {
@@ -295,25 +242,3 @@
 		send(c, "", message.KindMembers, news)
 	}
 }
-
-func (c *controlState) mergeUsage(now time.Time, m message.Usage) {
-	x := &c.exchange
-	if x.counts == nil {
-		x.counts, x.sent = map[countKey]message.UsageCount{}, map[countKey]int64{}
-	}
-	var news []admission.PeerUsage
-	for _, row := range m.Counts {
-		key := keyOfCount(row)
-		if row.Daemon == c.d.Settings.Daemon || x.counts[key].Sequence >= row.Sequence {
-			continue
-		}
-		x.counts[key] = row
-		news = append(news, admission.PeerUsage{
-			Daemon: row.Daemon, Organisation: row.Organisation, Rank: row.Rank, Service: row.Service,
-			Sequence: row.Sequence, Tokens: row.Tokens, Requests: row.Requests, Offered: row.Offered,
-		})
-	}
-	if len(news) > 0 {
-		c.d.dispatcher.MergeUsage(now, news)
-	}
-}
--- a/internal/entry/periods.go
+++ b/internal/entry/periods.go
@@ -46,22 +46,3 @@
 	}
 	return p
 }
-
-// UsageExchange is the exchange of usage rows at a size of the fleet.
-type UsageExchange struct {
-	// Period is the time between the rounds of a daemon, and RowsPerSecond what it
-	// sends over all links.
-	Period        time.Duration
-	RowsPerSecond float64
-}
-
-// UsageExchangeOf returns the exchange of usage with the given numbers of daemons,
-// of daemons in the own place, of rows for each daemon and of links.
-func UsageExchangeOf(daemons, _, rows, links int) UsageExchange {
-	period := max(digestPeriod, usagePeriod(daemons*rows, links))
-	return UsageExchange{Period: period, RowsPerSecond: float64(daemons*rows*links) / period.Seconds()}
-}
-
-// Staleness is the longest time until usage is known over the given hops: a daemon
-// passes rows on once in a period.
-func (u UsageExchange) Staleness(hops int) time.Duration { return time.Duration(hops) * u.Period }
--- a/internal/entry/placement.go
+++ b/internal/entry/placement.go
@@ -9,8 +9,8 @@
 	"apricotbridge/internal/cloud"
 	"apricotbridge/internal/engine"
 	"apricotbridge/internal/membership"
-	"apricotbridge/internal/message"
 	"apricotbridge/internal/placement"
+	"apricotbridge/internal/usage"
 	"apricotbridge/pkg/config"
 )
 
@@ -110,7 +110,7 @@
 		return placement.Input{}, errors.Annotate(err, "list instances")
 	}
 	in := placement.Input{
-		Fencing: int64(p.fence), OrdersFrom: p.ordersFrom, Demand: p.demand.rates(now, v, p.d.Settings.Region),
+		Fencing: int64(p.fence), OrdersFrom: p.ordersFrom, Demand: p.demand.rates(now, v),
 		Reclaims: p.recentReclaims(now), Refusals: p.refusals,
 	}
 	p.refusals = nil
@@ -232,15 +232,15 @@
 	return kept
 }
 
-// demandMeter turns the usage counters of a region's daemons into rates.
+// demandMeter turns the usage counters of a region into rates.
 type demandMeter struct {
-	last map[countKey]message.UsageCount
+	last usage.Sums
 	at   time.Time
 	sum  map[[2]string]placement.Demand
 }
 
 // rates returns the demand by rank and service since the last call, averaged.
-func (m *demandMeter) rates(now time.Time, v *View, region string) []placement.Demand {
+func (m *demandMeter) rates(now time.Time, v *View) []placement.Demand {
 	if m.sum == nil {
 		m.sum = map[[2]string]placement.Demand{}
 	}
@@ -249,14 +249,11 @@
 	m.at = now
 	fresh := map[[2]string]placement.Demand{}
 	for key, row := range v.usage {
-		if other, ok := v.daemon(row.Daemon); !ok || other.Region != region {
-			continue
-		}
 		before := m.last[key]
-		demand := fresh[[2]string{row.Rank, row.Service}]
+		demand := fresh[[2]string{key.Rank, key.Service}]
 		demand.TokensPerSecond += max(0, row.Offered-before.Offered) / elapsed.Seconds()
 		demand.RequestsPerSecond += float64(max(0, int64(row.Requests-before.Requests))) / elapsed.Seconds()
-		fresh[[2]string{row.Rank, row.Service}] = demand
+		fresh[[2]string{key.Rank, key.Service}] = demand
 	}
 	m.last = v.usage
 	if first {
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -6,8 +6,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"apricotbridge/internal/membership"
-	"apricotbridge/internal/message"
 	"apricotbridge/internal/routing"
+	"apricotbridge/internal/usage"
 	"apricotbridge/pkg/config"
 )
 
@@ -35,8 +35,10 @@
 	// Relay says that this daemon reads the configuration and the instance list
 	// for its place; the others learn them from peers.
 	Relay bool
-	// usage has the usage rows of all daemons, for placement.
-	usage map[countKey]message.UsageCount
+	// usage has the usage of the own region, for placement, and usageAt when it
+	// changed.
+	usage   usage.Sums
+	usageAt time.Time
 	// ends has the deadlines of leaving servers.
 	ends map[string]time.Time
 }
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -295,33 +295,42 @@
 
 // Usage carries usage counters.
 type Usage struct {
-	// Counters, own and learned.
+	// Counters that changed since the last report.
 	Counts []UsageCount `json:"Counts"`
+
+	// Place, with its region before it, or region.
+	Name string `json:"Name,omitempty,omitzero"`
+
+	// Daemon that made the sums of regions; those of another one have another base.
+	Origin string `json:"Origin,omitempty,omitzero"`
+
+	// What the counters sum.
+	Scope UsageScope `json:"Scope"`
 }
 
-// UsageCount is the tokens that one daemon served for one organisation.
+// UsageCount is what was served for one organisation in one rank of a service.
 type UsageCount struct {
-	// Daemon that served them.
-	Daemon string `json:"Daemon"`
-
 	// Estimated tokens of the offered requests.
 	Offered float64 `json:"Offered,omitempty,omitzero"`
 
-	// Organisation that they were served to.
+	// Organisation that it was served to.
 	Organisation string `json:"Organisation"`
 
 	// Rank of the work.
 	Rank string `json:"Rank,omitempty,omitzero"`
 
-	// Requests offered since the daemon started.
+	// Requests offered.
 	Requests uint64 `json:"Requests"`
 
-	// Rises with each change, so that an older count is ignored.
-	Sequence int64 `json:"Sequence"`
-
 	// Service that did the work.
 	Service string `json:"Service,omitempty,omitzero"`
 
-	// Tokens since the daemon started.
+	// Tokens served.
 	Tokens float64 `json:"Tokens"`
 }
+
+type UsageScope string
+
+const UsageScopePlace UsageScope = "Place"
+const UsageScopeRegion UsageScope = "Region"
+const UsageScopeSubtree UsageScope = "Subtree"
