--- a/internal/bench/measures.go
+++ b/internal/bench/measures.go
@@ -15,4 +15,5 @@
 	{Name: "takeover", Short: "takeover by indexes against reading the whole shard", Run: measureTakeover},
 	placementMeasure,
 	{Name: "routing", Short: "prefix cache use and first token against true sight, least load and random", Run: measureRouting},
+	{Name: "usage", Short: "bytes and age of the sums of usage against the number of daemons", Run: measureUsage},
 }
