entry: run suspects of crashes at one owner daemon

A model request whose verdict is Apart or Alone is handed over to quarantine.Owner of its service before it is dispatched, and so is one whose server crashed with it; its quarantine entries go with it. The daemon that took the request passes the answer on, so that its caller sees no move. The list goes to peers at once after a crash instead of with the next digest.

The dispatcher placed a waiting copy of a request that had become Refused like one without suspicion; it now ends as Poisonous.

Drafts and plain calls that are suspected still run at the daemon that has them.

--- a/cmd/apricotbridge/configuration_process_test.go
+++ b/cmd/apricotbridge/configuration_process_test.go
@@ -231,4 +231,3 @@
 		t.Error("the run proves little")
 	}
 }
-
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -324,9 +324,18 @@
 	}
 }
 
-// place chooses a server for a request that has its turn.
+// place chooses a server for a request that has its turn, or ends it. It reports
+// false when the request has to wait.
 func (d *Dispatcher) place(now time.Time, w *Work) bool {
 	verdict := d.Quarantine.Verdict(now, w.Fingerprint)
+	if verdict == quarantine.Refused {
+		// Another copy of the request crashed a server while this one waited.
+		d.Queue.Done(now, admission.Usage{ID: w.Request.ID, Failed: true})
+		delete(d.works, w.Request.ID)
+		d.counts.Refused++
+		w.grants <- Grant{Problem: problem.New(problem.Poisonous, "the same request has crashed backend servers")}
+		return true
+	}
 	if ready, _ := d.Quarantine.Ready(now, w.Fingerprint); verdict != quarantine.Normal && !ready {
 		return false
 	}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -79,3 +79,50 @@
 		t.Errorf("%v reports a request that a server got as not run", refused[0])
 	}
 }
+
+// Guards the bound on poisonous requests against a copy that waited while others
+// crashed servers, and that is then run like a request without suspicion.
+func TestWaitingCopyOfPoisonousRequestIsRefused(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	d := newDispatcher()
+	d.SetTable(now, table(1, 1, 1, 1, 1, 1))
+	const copies = 5
+	var works []*Work
+	crashes, refused := 0, 0
+	crash := func(w *Work) {
+		crashes++
+		if p := d.Retry(now, w.Request.ID, Crashed); p != nil {
+			refused++
+		}
+	}
+	for i := range copies {
+		w := work("x")
+		w.Request.ID, w.Call.RequestID = string(rune('0'+i)), string(rune('0'+i))
+		works = append(works, w)
+		if p := d.Submit(now, w); p != nil {
+			t.Fatal(p)
+		}
+		if i == 0 { // The others come when the first one has crashed its server.
+			<-w.Grants()
+			crash(w)
+		}
+	}
+	for range 60 {
+		now = now.Add(time.Second)
+		d.Tick(now)
+		for _, w := range works {
+			select {
+			case g := <-w.Grants():
+				if g.Problem != nil {
+					refused++
+				} else {
+					crash(w)
+				}
+			default:
+			}
+		}
+	}
+	if crashes > 3 || refused != copies {
+		t.Errorf("%d crashes, at most 3 may be; %d of %d copies were refused", crashes, refused, copies)
+	}
+}
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -113,6 +113,13 @@
 	return d.Quarantine.Merge(now, entries)
 }
 
+// SuspectsOf returns the quarantine entries of one fingerprint.
+func (d *Dispatcher) SuspectsOf(f quarantine.Fingerprint) []message.Suspect {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.Quarantine.EntriesOf(f)
+}
+
 // Verdict says how a request with the given fingerprint may run.
 func (d *Dispatcher) Verdict(now time.Time, f quarantine.Fingerprint) quarantine.Verdict {
 	d.mu.Lock()
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -26,6 +26,8 @@
 	priority  int
 	maxTokens int
 	durable   bool
+	// streamed says that the caller asked for a stream.
+	streamed bool
 	// leave is closed when the request has to move to another daemon.
 	leave     chan struct{}
 	leaveOnce sync.Once
@@ -42,7 +44,9 @@
 	recomputed int
 	problem    *problem.Problem
 	// moved is the address of the daemon that continues the answer.
-	moved   string
+	moved string
+	// owner is the daemon that runs a suspect, whose answer is passed on from there.
+	owner   string
 	changed chan struct{}
 	forget  *time.Timer
 	readers int
@@ -80,7 +84,7 @@
 func (d *Daemon) newAnswer(call *modelCall) *answer {
 	return &answer{
 		id: call.id, organisation: call.organisation, model: call.model, chat: call.chat, created: call.received,
-		priority: call.priority, maxTokens: call.maxTokens, durable: call.durable,
+		priority: call.priority, maxTokens: call.maxTokens, durable: call.durable, streamed: call.stream,
 		leave: make(chan struct{}), buffer: &stream.Buffer{}, changed: make(chan struct{}),
 	}
 }
@@ -183,6 +187,7 @@
 	whole   bool
 	problem *problem.Problem
 	moved   string
+	owner   string
 	changed <-chan struct{}
 }
 
@@ -195,7 +200,7 @@
 		return reading{problem: problem.New(problem.BadRequest, "%v", err)}
 	}
 	state, _ := a.buffer.State()
-	return reading{events: events, whole: state == stream.Whole, problem: a.problem, moved: a.moved, changed: a.changed}
+	return reading{events: events, whole: state == stream.Whole, problem: a.problem, moved: a.moved, owner: a.owner, changed: a.changed}
 }
 
 // last returns what the last event of a whole answer carries.
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -30,6 +30,9 @@
 func (d *Daemon) runModelCall(ctx context.Context, call *modelCall, a *answer) *problem.Problem {
 	stop := make(chan struct{}, 1)
 	w := d.modelWork(call, a, stop)
+	if d.quarantine(ctx, call, a, w) {
+		return nil
+	}
 	if p := d.dispatcher.Submit(time.Now(), w); p != nil {
 		return p
 	}
@@ -83,6 +86,13 @@
 		if p := d.dispatcher.Retry(time.Now(), call.id, ending); p != nil {
 			return p
 		}
+		if ending == dispatch.Crashed {
+			d.tell(func(c *controlState, _ time.Time) { c.pushSuspects() })
+		}
+		if d.quarantine(ctx, call, a, w) {
+			d.dispatcher.Cancel(time.Now(), call.id)
+			return nil
+		}
 	}
 }
 
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -52,7 +51,8 @@
 	if res.Status == problem.Of(problem.LedgerUnavailable).Status {
 		stale()
 	}
-	return passOn(w, res)
+	passOn(w, res)
+	return nil
 }
 
 func notHere(detail string) *problem.Problem {
@@ -76,27 +76,13 @@
 	return problem.New(problem.OutcomeUnknown, "the daemon that ran the request is not reached any more; send the same key again")
 }
 
-// passOn sends the response of another daemon. One that breaks off is cut off
-// here as well, so that it never looks complete.
-func passOn(w http.ResponseWriter, res *peer.Response) *problem.Problem {
+// passOn sends the response of another daemon.
+func passOn(w http.ResponseWriter, res *peer.Response) {
 	for _, h := range res.Headers {
 		w.Header().Add(h.Name, h.Value)
 	}
 	w.WriteHeader(res.Status)
-	flush := http.NewResponseController(w)
-	for {
-		part, err := res.Next()
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			panic(http.ErrAbortHandler)
-		}
-		if _, err := w.Write(part); err != nil {
-			return nil //nolint:nilerr // The caller is gone; there is nobody to answer.
-		}
-		_ = flush.Flush() // A caller that has gone is noticed by the next write.
-	}
+	copyParts(w, res.Next)
 }
 
 func forwardedHeaders(h http.Header) []message.Header {
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -76,17 +76,24 @@
 // handOver gives a request to another daemon, first one in another place of the
 // same region. It reports false when none takes it; the request then goes on here.
 func (d *Daemon) handOver(ctx context.Context, call *modelCall, a *answer) bool {
+	return d.handOverTo(ctx, call, a, d.handoverTargets(call.id), nil)
+}
+
+// handOverTo gives a request to the first of the daemons that takes it, with its
+// quarantine entries when it is a suspect.
+func (d *Daemon) handOverTo(ctx context.Context, call *modelCall, a *answer, targets []membership.Daemon, suspects []message.Suspect) bool {
 	a.mu.Lock()
 	snapshot := a.buffer.Snapshot()
 	a.mu.Unlock()
 	h := message.Handover{
 		RequestID: call.id, Organisation: call.organisation, Rank: call.rank, Service: call.service.Name,
 		Path: call.path(), Body: call.body, Generated: snapshot.Generated, Attempt: snapshot.Attempt,
+		Suspects: suspects,
 	}
 	if before := call.previous; before != nil && before.alive {
 		h.Server, h.EngineStream = before.server.ID, before.stream
 	}
-	for _, target := range d.handoverTargets(call.id) {
+	for _, target := range targets {
 		attempt, cancel := context.WithTimeout(ctx, handoverTimeout)
 		err := d.hub.Handover(attempt, target.PeerAddress, h)
 		cancel()
@@ -100,6 +107,9 @@
 		}
 		a.mu.Lock()
 		a.moved = target.CallerAddress
+		if len(suspects) > 0 {
+			a.owner = target.ID
+		}
 		a.wake()
 		a.mu.Unlock()
 		return true
@@ -160,6 +170,10 @@
 	if err != nil {
 		return err
 	}
+	if len(h.Suspects) > 0 {
+		d.dispatcher.MergeSuspects(time.Now(), h.Suspects)
+		call.suspect = true
+	}
 	a := d.newAnswer(call)
 	a.buffer = buffer
 	if server, ok := v.Table.Server(h.Server); ok && h.EngineStream != "" {
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -50,6 +50,8 @@
 	received     time.Time
 	// durable is set for a draft that was accepted with 202.
 	durable bool
+	// suspect is set for a request that was handed over to run in quarantine here.
+	suspect bool
 	// previous is the attempt before the present one.
 	previous *previousAttempt
 }
@@ -176,6 +178,8 @@
 		switch {
 		case got.problem != nil:
 			return got.problem
+		case got.owner != "" && d.relay(w, r, a, got.owner, 0, false):
+			return nil
 		case got.moved != "":
 			w.Header().Set("Location", "http://"+got.moved+"/v1/requests/"+a.id)
 			writeJSON(w, http.StatusAccepted, acceptedBody{RequestID: a.id, Entry: got.moved})
--- a/internal/entry/sse.go
+++ b/internal/entry/sse.go
@@ -24,10 +24,8 @@
 		if !begun && got.problem != nil && len(got.events) == 0 {
 			return got.problem
 		}
-		if !begun && (len(got.events) > 0 || got.whole || got.moved != "") {
-			w.Header().Set("Content-Type", "text/event-stream")
-			w.Header().Set("Cache-Control", "no-store")
-			w.WriteHeader(http.StatusOK)
+		if !begun && (len(got.events) > 0 || got.whole || got.moved != "" && got.owner == "") {
+			beginStream(w)
 			begun = true
 		}
 		for _, e := range got.events {
@@ -40,7 +38,13 @@
 			}
 			after = e.Sequence
 		}
+		if got.owner != "" && d.relay(w, r, a, got.owner, after, begun) {
+			return nil
+		}
 		if got.whole || got.problem != nil || got.moved != "" {
+			if !begun {
+				beginStream(w) // The daemon that runs the request was not reached.
+			}
 			return endStream(w, got, a.id)
 		}
 		if begun {
@@ -54,6 +58,12 @@
 	}
 }
 
+func beginStream(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Cache-Control", "no-store")
+	w.WriteHeader(http.StatusOK)
+}
+
 // sendEvent reports whether the caller is still there. One that has gone may
 // resume.
 func sendEvent(w http.ResponseWriter, id int64, data []byte) bool {
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -168,6 +168,9 @@
 
 	// Service asked for.
 	Service string `json:"Service"`
+
+	// Quarantine entries of the request; with any, the receiver runs it as a suspect.
+	Suspects []Suspect `json:"Suspects,omitempty,omitzero"`
 }
 
 // HandoverAccepted says that the receiver answers for the request from now on.
