--- a/internal/bench/report_small.go
+++ b/internal/bench/report_small.go
@@ -139,7 +139,7 @@
 	switch {
 	case old.Bound == nil || old.WallClock:
 		return false
-	case !now.Held() || math.IsNaN(now.Value):
+	case math.IsNaN(now.Value), old.Held() && !now.Held():
 		return true
 	case old.Side == AtLeast:
 		return now.Value < old.Value-margin
--- a/internal/bench/report_small_test.go
+++ b/internal/bench/report_small_test.go
@@ -22,6 +22,8 @@
 		{"within the regression bound", run(1, "f", 10, limit), run(1, "f", 10.4, limit), true},
 		{"worse", run(1, "f", 10, limit), run(1, "f", 10.6, limit), false},
 		{"over its bound", run(1, "f", 20, limit), run(1, "f", 20.5, limit), false},
+		{"over its bound before", run(1, "f", 30, limit), run(1, "f", 30.5, limit), true},
+		{"over its bound before and worse", run(1, "f", 30, limit), run(1, "f", 32, limit), false},
 		{"without a bound", run(1, "f", 10, nil), run(1, "f", 30, nil), true},
 		{"missing", run(1, "f", 10, limit), run(1, "g", 10, limit), false},
 		{"other seed", run(1, "f", 10, limit), run(2, "f", 10, limit), false},
