bench: write, compare and plot reports in one way

RunAll and Check are kept; the copies of reading, writing, comparing and plotting are gone, with their test moved to the ones that stay. The measures are a function instead of a variable that init fills.

--- a/cmd/apricotbridge/bench.go
+++ b/cmd/apricotbridge/bench.go
@@ -64,19 +64,19 @@
 				if err := os.MkdirAll(out, 0o755); err != nil {
 					return fault(err)
 				}
-				if err := run.Save(filepath.Join(out, "results.json")); err != nil {
+				if err := run.WriteFile(filepath.Join(out, "results.json")); err != nil {
 					return fault(err)
 				}
 			}
 			if plots {
-				if err := run.Draw(out); err != nil {
+				if _, err := bench.Plot(out, run.Results); err != nil {
 					return fault(err)
 				}
 			}
 			if output == outputJSON {
 				err = writeJSON(c.OutOrStdout(), run)
 			} else {
-				err = run.Table(c.OutOrStdout())
+				err = bench.WriteTable(c.OutOrStdout(), run.Results)
 			}
 			if err != nil {
 				return fault(err)
@@ -95,19 +95,26 @@
 	return &cobra.Command{
 		Use:     "compare OLD NEW",
 		Short:   "Compare two result files",
-		Long:    "Print the ratio of each figure of two result files. The exit code is 1 when a figure with a bound got worse by more than the regression bound.",
+		Long:    "Print the ratio of each figure of two result files. The exit code is 1 when a figure got worse by more than 5% or is over its bound.",
 		Example: "  apricotbridge bench compare docs/bench/slopes.json results/results.json",
 		Args:    cobra.ExactArgs(2),
 		RunE: func(c *cobra.Command, files []string) error {
-			before, err := bench.LoadRun(files[0])
+			before, err := bench.ReadReport(files[0])
 			if err != nil {
 				return fault(err)
 			}
-			after, err := bench.LoadRun(files[1])
+			after, err := bench.ReadReport(files[1])
 			if err != nil {
 				return fault(err)
 			}
-			return fault(bench.WriteRatios(c.OutOrStdout(), before, after))
+			changes, err := bench.Compare(before.Results, after.Results)
+			if printed := bench.WriteChanges(c.OutOrStdout(), changes); printed != nil {
+				return fault(printed)
+			}
+			if err != nil {
+				return fault(err)
+			}
+			return fault(after.Check())
 		},
 	}
 }
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -75,18 +75,19 @@
 
 // Measures returns all measures by name.
 func Measures() []Measure {
-	all := append([]Measure(nil), measures...)
+	all := measures()
 	sort.Slice(all, func(i, j int) bool { return all[i].Name < all[j].Name })
 	return all
 }
 
 // Run runs the named measure.
 func Run(name string, seed uint64) (Result, error) {
-	i := slices.IndexFunc(measures, func(m Measure) bool { return m.Name == name })
+	all := measures()
+	i := slices.IndexFunc(all, func(m Measure) bool { return m.Name == name })
 	if i < 0 {
 		return Result{}, errors.NotFoundf("measure %q", name)
 	}
-	m := measures[i]
+	m := all[i]
 	r, err := m.Run(seed)
 	if err != nil {
 		return r, errors.Annotatef(err, "measure %s with seed %d", name, seed)
