--- a/internal/usage/tree.go
+++ b/internal/usage/tree.go
@@ -116,6 +116,7 @@
 	t.children, t.roots, t.size = map[string]*reports{}, map[string]*reports{}, map[string]int{}
 }
 
+// Weight orders the daemons of a place: the one with the highest is its root.
 func Weight(d membership.Daemon) uint64 { return xxhash.Sum64String(d.Place + "\x00" + d.ID) }
 
 // Arrange chooses the parent from the live daemons and returns the daemons to which
