--- a/cmd/apricotbridge/bench.go
+++ b/cmd/apricotbridge/bench.go
@@ -16,7 +16,9 @@
 	c := &cobra.Command{
 		Use:   "bench",
 		Short: "Run the benchmarks and compare their results",
-		Args:  cobra.NoArgs,
+		Example: `  apricotbridge bench list
+  apricotbridge bench run gossip spread --seed 1 --out results`,
+		Args: cobra.NoArgs,
 	}
 	c.AddCommand(newBenchList(), newBenchRun(), newBenchCompare())
 	return c
@@ -24,9 +26,10 @@
 
 func newBenchList() *cobra.Command {
 	return &cobra.Command{
-		Use:   "list",
-		Short: "List the measures",
-		Args:  cobra.NoArgs,
+		Use:     "list",
+		Short:   "List the measures",
+		Example: "  apricotbridge bench list",
+		Args:    cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			for _, m := range bench.Measures() {
 				fmt.Fprintf(c.OutOrStdout(), "%-16s %s\n", m.Name, m.Short)
