registrar, entry: read tails of reached holders once a lease; shorten the run of a request

A holder that answers over a peer link is looked at once a lease in place of three times; one that is not reached any more is noticed by the links.

runModelCall had 60 lines with nested cases; a request is now a modelRun with one step for each turn, in a file of its own. No change of behaviour.

Ruled out: a small key beside the tail, which would double the writes.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -15,87 +15,6 @@
 	"apricotbridge/pkg/problem"
 )
 
-const (
-	errAnswerTooLong = errors.ConstError("answer exceeds the buffer")
-	// errStopped is the cause of the end of an attempt that made room or whose
-	// server is leaving.
-	errStopped = errors.ConstError("attempt stopped")
-	// maxAttempts bounds the attempts that fail. Attempts that were stopped do not
-	// count.
-	maxAttempts = 4
-)
-
-// runModelCall produces the answer: it waits for its turn and runs attempts until
-// one is complete. Each attempt goes on after the events of those before it.
-func (d *Daemon) runModelCall(ctx context.Context, call *modelCall, a *answer) *problem.Problem {
-	stop := make(chan struct{}, 1)
-	w := d.modelWork(call, a, stop)
-	if d.quarantine(ctx, call, a, w) {
-		return nil
-	}
-	if p := d.dispatcher.Submit(time.Now(), w); p != nil {
-		return p
-	}
-	failures := 0
-	leave := (<-chan struct{})(a.leave)
-	defer d.cancelPrevious(call)
-	for {
-		grant, err := d.turn(ctx, w, leave)
-		if errors.Is(err, errLeaving) {
-			if d.handOver(ctx, call, a) {
-				d.dispatcher.Cancel(time.Now(), call.id)
-				return nil
-			}
-			leave = nil
-			continue
-		}
-		if err != nil {
-			return problem.New(problem.Internal, "request was cancelled")
-		}
-		if grant.Problem != nil {
-			return grant.Problem
-		}
-		d.logRouting(call.id, call.service.Name, failures+1, grant)
-		ending, err := d.attempt(ctx, call, a, w, grant.Server, stop, leave)
-		if err == nil {
-			return nil
-		}
-		if ctx.Err() != nil {
-			d.dispatcher.Cancel(time.Now(), call.id)
-			return problem.New(problem.Internal, "request was cancelled")
-		}
-		if errors.Is(err, errLeaving) {
-			if d.handOver(ctx, call, a) {
-				d.dispatcher.Cancel(time.Now(), call.id)
-				return nil
-			}
-			leave = nil // No daemon took it; it goes on here.
-		}
-		if p := finalProblem(err); p != nil {
-			d.dispatcher.Cancel(time.Now(), call.id)
-			return p
-		}
-		if ending != dispatch.Stopped {
-			failures++
-		}
-		d.Log.Info("attempt ended early", "RequestID", call.id, "Server", grant.Server.ID, "Ending", ending.String(), "Error", err.Error())
-		if failures >= maxAttempts && !w.Durable {
-			d.dispatcher.Cancel(time.Now(), call.id)
-			return problem.New(problem.BackendFailed, "%d attempts failed", failures)
-		}
-		if p := d.dispatcher.Retry(time.Now(), call.id, ending); p != nil {
-			return p
-		}
-		if ending == dispatch.Crashed {
-			d.tell(func(c *controlState, _ time.Time) { c.pushSuspects() })
-		}
-		if d.quarantine(ctx, call, a, w) {
-			d.dispatcher.Cancel(time.Now(), call.id)
-			return nil
-		}
-	}
-}
-
 // modelWork returns the work of a model call. Its prompt is hashed for the prefix
 // cache and the fingerprint; the text itself is not kept.
 func (d *Daemon) modelWork(call *modelCall, a *answer, stop chan<- struct{}) *dispatch.Work {
@@ -122,65 +41,20 @@
 	}
 }
 
-// turn waits until the request gets a turn. It returns errLeaving when the
-// request has to move first.
-func (d *Daemon) turn(ctx context.Context, w *dispatch.Work, leave <-chan struct{}) (dispatch.Grant, error) {
-	select {
-	case grant := <-w.Grants():
-		return grant, nil
-	case <-leave:
-		return dispatch.Grant{}, errLeaving
-	case <-ctx.Done():
-		d.dispatcher.Cancel(time.Now(), w.Request.ID)
-		return dispatch.Grant{}, ctx.Err()
-	}
-}
-
 // attempt runs the request at one server. It returns nil when the answer is
 // complete, and otherwise how the attempt ended.
-func (d *Daemon) attempt(ctx context.Context, call *modelCall, a *answer, w *dispatch.Work, server routing.Server, stop, leave <-chan struct{}) (dispatch.Ending, error) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	select {
-	case <-stop: // Meant for an attempt before this one.
-	default:
-	}
-	watching := make(chan struct{})
-	go func() {
-		defer close(watching)
-		select {
-		case <-stop:
-			cancel(errStopped)
-		case <-leave:
-			cancel(errLeaving)
-		case <-ctx.Done():
-		}
-	}()
-	defer func() {
-		cancel(nil)
-		<-watching
-	}()
-
+func (m *modelRun) attempt(ctx context.Context, server routing.Server) (dispatch.Ending, error) {
+	ctx, end := m.watch(ctx)
+	defer end()
+	d, call, a := m.d, m.call, m.answer
 	number, prior, ok := a.begin()
 	if !ok {
 		return dispatch.Stopped, errors.Annotate(errStopped, "answer takes no more attempts")
 	}
 	s := &attemptStream{d: d, call: call, answer: a, number: number, id: fmt.Sprintf("%s/%d", call.id, number), prior: len(prior), generated: len(prior)}
-	d.continueFrom(ctx, call, a, w, server, s.id)
+	d.continueFrom(ctx, call, a, m.work, server, s.id)
 	d.cancelPrevious(call)
-	q := engine.Request{Stream: s.id, Body: call.body, Chat: call.chat, Priority: call.priority, Prior: prior, Blocks: w.Call.Blocks}
-	q.Started = func(l engine.Load) { s.load = &routing.Load{Running: l.Running, Waiting: l.Waiting} }
-	err := d.Engine.Stream(ctx, server.Address, q, s.token)
-	ending := dispatch.Broken
-	for resumes := 0; err != nil; resumes++ {
-		ending = d.endingOf(ctx, err, server)
-		if ending != dispatch.Broken || resumes >= maxResumes || !errors.Is(err, engine.ErrBroken) || a.complete() {
-			break
-		}
-		// The engine is there and keeps the stream for a while.
-		d.Log.Info("stream resumed at its engine", "RequestID", call.id, "Server", server.ID, "After", s.generated, "Error", err.Error())
-		err = d.Engine.Resume(ctx, server.Address, s.id, s.generated, s.token)
-	}
+	ending, err := s.run(ctx, server, prior, m.work.Call.Blocks)
 	if (err == nil || a.complete()) && a.end(number) {
 		d.finishWork(call, a, s.generated-s.prior, s.load)
 		return 0, nil
@@ -190,12 +64,12 @@
 	}
 	d.dispatcher.Progress(call.id, s.generated-s.prior)
 	a.fail(number)
-	handedOver := errors.Is(context.Cause(ctx), errLeaving)
-	if handedOver {
+	moving := errors.Is(context.Cause(ctx), errLeaving)
+	if moving {
 		err = errors.Annotate(errLeaving, err.Error())
 	}
 	call.previous = &previousAttempt{
-		server: server, stream: s.id, alive: ending == dispatch.Stopped && (handedOver || d.leaving(server)),
+		server: server, stream: s.id, alive: ending == dispatch.Stopped && (moving || d.leaving(server)),
 	}
 	if !call.previous.alive {
 		d.cancelPrevious(call) // A preempted stream frees its slot at once.
@@ -203,6 +77,31 @@
 	return ending, err
 }
 
+// watch returns a context that ends with its cause when the attempt is stopped or
+// the request has to move, and a function that ends the watch.
+func (m *modelRun) watch(ctx context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	select {
+	case <-m.stop: // Meant for an attempt before this one.
+	default:
+	}
+	watching := make(chan struct{})
+	go func() {
+		defer close(watching)
+		select {
+		case <-m.stop:
+			cancel(errStopped)
+		case <-m.leave:
+			cancel(errLeaving)
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, func() {
+		cancel(nil)
+		<-watching
+	}
+}
+
 // maxResumes bounds the resumes of one attempt at its engine.
 const maxResumes = 2
 
@@ -218,6 +117,24 @@
 	load      *routing.Load
 }
 
+// run streams the answer from the engine. A stream that breaks off while its engine
+// is there is resumed, because the engine keeps it for a while.
+func (s *attemptStream) run(ctx context.Context, server routing.Server, prior []string, blocks []uint64) (dispatch.Ending, error) {
+	d, call := s.d, s.call
+	q := engine.Request{Stream: s.id, Body: call.body, Chat: call.chat, Priority: call.priority, Prior: prior, Blocks: blocks}
+	q.Started = func(l engine.Load) { s.load = &routing.Load{Running: l.Running, Waiting: l.Waiting} }
+	err := d.Engine.Stream(ctx, server.Address, q, s.token)
+	for resumes := 0; err != nil; resumes++ {
+		ending := d.endingOf(ctx, err, server)
+		if ending != dispatch.Broken || resumes >= maxResumes || !errors.Is(err, engine.ErrBroken) || s.answer.complete() {
+			return ending, err
+		}
+		d.Log.Info("stream resumed at its engine", "RequestID", call.id, "Server", server.ID, "After", s.generated, "Error", err.Error())
+		err = d.Engine.Resume(ctx, server.Address, s.id, s.generated, s.token)
+	}
+	return dispatch.Broken, nil
+}
+
 func (s *attemptStream) token(t engine.Token) error {
 	if s.generated == s.prior {
 		now := time.Now()
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -48,9 +48,9 @@
 	// pollsPerLease sets how often the tail of a shard that is held elsewhere is
 	// read.
 	pollsPerLease = 3
-	// TailPeriod is the mean time between two such reads with the default lease; a
-	// wait is between a half and the whole of the poll time.
-	TailPeriod = DefaultLease / pollsPerLease * 3 / 4
+	// TailPeriod is the mean time between two reads of a tail whose holder is reached,
+	// with the default lease; a wait is between a half and the whole of the poll time.
+	TailPeriod = DefaultLease * 3 / 4
 	// maxSubmissions and maxEvents bound the channels of a shard. A submission over
 	// the bound is refused as not run.
 	maxSubmissions = 1024
@@ -98,6 +98,11 @@
 	Candidate func(shard int) int
 	// Gone reports whether a daemon is known to be gone. Nil means never.
 	Gone func(daemon string) bool
+	// Reached reports whether a daemon answers over a link. The tails of its shards,
+	// which have up to 64 KB, are read once a lease in place of three times; a frozen
+	// holder is still replaced, and a daemon that is not reached any more is noticed
+	// by Gone and Wake. Nil means that none is.
+	Reached func(daemon string) bool
 	// OnResign is told why a shard is not held any more, or was not taken over. It
 	// must not block.
 	OnResign func(shard int, r ledger.Resign)
@@ -154,6 +159,9 @@
 	if r.Gone == nil {
 		r.Gone = func(string) bool { return false }
 	}
+	if r.Reached == nil {
+		r.Reached = func(string) bool { return false }
+	}
 	if r.OnResign == nil {
 		r.OnResign = func(int, ledger.Resign) {}
 	}
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -266,3 +266,24 @@
 	}
 	f.exits.Wait()
 }
+
+// Guards against reads of 64 KB tails three times a lease while their holder
+// answers over a link, and against a slow look at a holder that is not reached.
+func TestReachedHolderIsReadOnceALease(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	r := &Registrar{Daemon: "b", Lease: 30 * time.Second, Incarnation: 1, Shards: 1, Reached: func(daemon string) bool { return daemon == "a" }}
+	r.defaults()
+	w := newWorker(r, 0)
+	for _, c := range []struct {
+		holder      string
+		least, most time.Duration
+	}{{"a", 15 * time.Second, 30 * time.Second}, {"c", 5 * time.Second, 10 * time.Second}, {"", 5 * time.Second, 10 * time.Second}} {
+		w.remember(c.holder)
+		for range 100 {
+			w.later(now)
+			if wait := w.pollAt.Sub(now); wait < c.least || wait > c.most {
+				t.Fatalf("holder %q: next look after %v, want %v to %v", c.holder, wait, c.least, c.most)
+			}
+		}
+	}
+}
--- a/internal/registrar/worker.go
+++ b/internal/registrar/worker.go
@@ -304,6 +304,9 @@
 // at the same moment.
 func (w *worker) later(now time.Time) {
 	every := w.registrar.Lease / pollsPerLease
+	if holder := w.owner(); holder != "" && w.registrar.Reached(holder) {
+		every = w.registrar.Lease
+	}
 	w.pollAt = now.Add(every/2 + time.Duration(w.rng.Float64()*float64(every/2)))
 }
 
