--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -33,8 +33,8 @@
 	}
 }
 
-// lull returns how long there was no request.
-func (a *activity) lull(now time.Time) time.Duration {
+// quiet returns how long there was no request.
+func (a *activity) quiet(now time.Time) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.count > 0 {
@@ -64,23 +64,23 @@
 const settle = 500 * time.Millisecond
 
 const (
-	// lull is how long a drained daemon has no request before it ends. A peer or a
+	// quietTime is how long a drained daemon has no request before it ends. A peer or a
 	// caller that sent one to a daemon which ends meanwhile does not know whether it
 	// ran.
-	lull = 250 * time.Millisecond
-	// lullTimeout bounds the wait for the lull, because callers with an old list of
+	quietTime = 250 * time.Millisecond
+	// quietTimeout bounds the wait for it, because callers with an old list of
 	// entries may go on to send.
-	lullTimeout = 3 * time.Second
-	lullPoll    = 10 * time.Millisecond
+	quietTimeout = 3 * time.Second
+	quietPoll    = 10 * time.Millisecond
 )
 
-// awaitLull waits until no request has come for a while and the answers to peers
+// awaitQuiet waits until no request has come for a while and the answers to peers
 // are written.
-func (d *Daemon) awaitLull(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, lullTimeout)
+func (d *Daemon) awaitQuiet(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, quietTimeout)
 	defer cancel()
-	for ctx.Err() == nil && (d.active.lull(time.Now()) < lull || !d.hub.Flushed()) {
-		sleep(ctx, lullPoll)
+	for ctx.Err() == nil && (d.active.quiet(time.Now()) < quietTime || !d.hub.Flushed()) {
+		sleep(ctx, quietPoll)
 	}
 }
 
@@ -119,7 +119,7 @@
 	<-released
 	select {
 	case <-d.active.empty():
-		d.awaitLull(ctx)
+		d.awaitQuiet(ctx)
 		d.Log.Info("drain complete")
 	case <-ctx.Done():
 		d.Log.Info("drain ended at its deadline")
