entry, dispatch: keep the stream of an engine that is leaving for its import

Cause: KV cache was never imported. Requests of a leaving server are stopped before the view shows that it leaves, so the attempt looked preempted, its stream was cancelled and the next attempt recomputed everything. The stop now carries its cause. The stand-in forgot imports that came before its first stream.

--- a/internal/demo/platform_test.go
+++ b/internal/demo/platform_test.go
@@ -21,6 +21,12 @@
 
 // small starts two daemons before engines at asan and bhaktapur.
 func small(t *testing.T) *Platform {
+	t.Helper()
+	return smallWith(t, samples.Shrestha)
+}
+
+// smallWith is small with another configuration.
+func smallWith(t *testing.T, configuration []byte) *Platform {
 	t.Helper()
 	p, err := NewPlatform(t.Context(), testr.New(t), 1)
 	if err != nil {
@@ -30,7 +36,7 @@
 		p.Close()
 		http.DefaultClient.CloseIdleConnections()
 	})
-	if err := p.Apply(t.Context(), samples.Shrestha); err != nil {
+	if err := p.Apply(t.Context(), configuration); err != nil {
 		t.Fatal(err)
 	}
 	for i, place := range []string{"asan", "bhaktapur"} {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -41,9 +41,10 @@
 	// Durable work was accepted before: it waits for a server instead of being
 	// refused for want of one, and its retries are outside the budget.
 	Durable bool
-	// Stop is called when the running attempt has to make room for more urgent
-	// work; nil means that the request can't be preempted. It must not block.
-	Stop func()
+	// Stop is called when the running attempt has to end: because its server is
+	// leaving, or to make room for more urgent work. Nil means that the request can't
+	// be stopped. It must not block.
+	Stop func(leaving bool)
 
 	grants  chan Grant
 	server  routing.Server
@@ -297,7 +298,7 @@
 			return
 		}
 		d.counts.Preempted++
-		d.works[victim.ID].Stop()
+		d.works[victim.ID].Stop(false)
 	}
 }
 
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -46,7 +46,7 @@
 		if left > 0 && w.remaining() < left-moveMargin {
 			continue
 		}
-		w.Stop()
+		w.Stop(true)
 		stopped++
 	}
 	return stopped
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -17,7 +17,7 @@
 
 // modelWork returns the work of a model call. Its prompt is hashed for the prefix
 // cache and the fingerprint; the text itself is not kept.
-func (d *Daemon) modelWork(call *modelCall, a *answer, stop chan<- struct{}) *dispatch.Work {
+func (d *Daemon) modelWork(call *modelCall, a *answer, stop chan<- error) *dispatch.Work {
 	blocks := routing.PromptBlocks(call.prompt, call.model, "")
 	return &dispatch.Work{
 		Request: admission.Request{
@@ -32,9 +32,13 @@
 		},
 		Fingerprint: quarantine.FingerprintOf(call.organisation, call.service.Name, call.body),
 		Durable:     call.durable,
-		Stop: func() {
+		Stop: func(leaving bool) {
+			cause := error(errStopped)
+			if leaving {
+				cause = errServerLeaving
+			}
 			select {
-			case stop <- struct{}{}:
+			case stop <- cause:
 			default: // The attempt was told already.
 			}
 		},
@@ -68,9 +72,9 @@
 	if moving {
 		err = errors.Annotate(errLeaving, err.Error())
 	}
-	call.previous = &previousAttempt{
-		server: server, stream: s.id, alive: ending == dispatch.Stopped && (moving || d.leaving(server)),
-	}
+	// The view may not show yet that the server is leaving, so the cause counts.
+	kept := moving || errors.Is(context.Cause(ctx), errServerLeaving) || d.leaving(server)
+	call.previous = &previousAttempt{server: server, stream: s.id, alive: ending == dispatch.Stopped && kept}
 	if !call.previous.alive {
 		d.cancelPrevious(call) // A preempted stream frees its slot at once.
 	}
@@ -89,8 +93,8 @@
 	go func() {
 		defer close(watching)
 		select {
-		case <-m.stop:
-			cancel(errStopped)
+		case cause := <-m.stop:
+			cancel(cause)
 		case <-m.leave:
 			cancel(errLeaving)
 		case <-ctx.Done():
@@ -168,7 +172,7 @@
 // response broke off, and that was not told to leave, has crashed.
 func (d *Daemon) endingOf(ctx context.Context, err error, server routing.Server) dispatch.Ending {
 	switch {
-	case errors.Is(context.Cause(ctx), errStopped), errors.Is(context.Cause(ctx), errLeaving):
+	case errors.Is(context.Cause(ctx), errStopped), errors.Is(context.Cause(ctx), errServerLeaving), errors.Is(context.Cause(ctx), errLeaving):
 		return dispatch.Stopped
 	case errors.Is(err, engine.ErrNotStarted):
 		d.suspect(server)
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -12,9 +12,10 @@
 
 const (
 	errAnswerTooLong = errors.ConstError("answer exceeds the buffer")
-	// errStopped is the cause of the end of an attempt that made room or whose
-	// server is leaving.
-	errStopped = errors.ConstError("attempt stopped")
+	// errStopped is the cause of the end of an attempt that made room, and
+	// errServerLeaving that of one whose server is leaving.
+	errStopped       = errors.ConstError("attempt stopped")
+	errServerLeaving = errors.ConstError("backend server is leaving")
 	// maxAttempts bounds the attempts that fail. Attempts that were stopped do not
 	// count.
 	maxAttempts = 4
@@ -28,7 +29,7 @@
 	work   *dispatch.Work
 	// stop tells the running attempt to end, and leave the request to move to
 	// another daemon.
-	stop     chan struct{}
+	stop     chan error
 	leave    <-chan struct{}
 	failures int
 }
@@ -36,7 +37,7 @@
 // runModelCall produces the answer: it waits for its turn and runs attempts until
 // one is complete. Each attempt goes on after the events of those before it.
 func (d *Daemon) runModelCall(ctx context.Context, call *modelCall, a *answer) *problem.Problem {
-	m := &modelRun{d: d, call: call, answer: a, stop: make(chan struct{}, 1), leave: a.leave}
+	m := &modelRun{d: d, call: call, answer: a, stop: make(chan error, 1), leave: a.leave}
 	m.work = d.modelWork(call, a, m.stop)
 	if d.quarantine(ctx, call, a, m.work) {
 		return nil
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -123,6 +123,13 @@
 	return e.served
 }
 
+// Imports returns how many KV caches the engine has taken.
+func (e *Engine) Imports() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.imported)
+}
+
 // Running returns how many streams hold a slot.
 func (e *Engine) Running() int {
 	e.mu.Lock()
@@ -154,7 +161,6 @@
 	if e.streams == nil {
 		e.streams = map[string]*engineStream{}
 		e.cache = map[uint64]int64{}
-		e.imported = map[string]bool{}
 	}
 	if old, ok := e.streams[id]; ok {
 		old.cancel()
