--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -17,7 +17,7 @@
 
 // modelWork returns the work of a model call. Its prompt is hashed for the prefix
 // cache and the fingerprint; the text itself is not kept.
-func (d *Daemon) modelWork(call *modelCall, a *answer, stop chan<- error) *dispatch.Work {
+func (d *Daemon) modelWork(call *modelCall, a *answer, stop chan<- bool) *dispatch.Work {
 	blocks := routing.PromptBlocks(call.prompt, call.model, "")
 	return &dispatch.Work{
 		Request: admission.Request{
@@ -33,12 +33,8 @@
 		Fingerprint: quarantine.FingerprintOf(call.organisation, call.service.Name, call.body),
 		Durable:     call.durable,
 		Stop: func(leaving bool) {
-			cause := error(errStopped)
-			if leaving {
-				cause = errServerLeaving
-			}
 			select {
-			case stop <- cause:
+			case stop <- leaving:
 			default: // The attempt was told already.
 			}
 		},
@@ -93,8 +89,11 @@
 	go func() {
 		defer close(watching)
 		select {
-		case cause := <-m.stop:
-			cancel(cause)
+		case leaving := <-m.stop:
+			if leaving {
+				cancel(errServerLeaving)
+			}
+			cancel(errStopped) // The first cause counts.
 		case <-m.leave:
 			cancel(errLeaving)
 		case <-ctx.Done():
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -27,9 +27,9 @@
 	call   *modelCall
 	answer *answer
 	work   *dispatch.Work
-	// stop tells the running attempt to end, and leave the request to move to
-	// another daemon.
-	stop     chan error
+	// stop tells the running attempt to end, with whether its server is leaving, and
+	// leave the request to move to another daemon.
+	stop     chan bool
 	leave    <-chan struct{}
 	failures int
 }
@@ -37,7 +37,7 @@
 // runModelCall produces the answer: it waits for its turn and runs attempts until
 // one is complete. Each attempt goes on after the events of those before it.
 func (d *Daemon) runModelCall(ctx context.Context, call *modelCall, a *answer) *problem.Problem {
-	m := &modelRun{d: d, call: call, answer: a, stop: make(chan error, 1), leave: a.leave}
+	m := &modelRun{d: d, call: call, answer: a, stop: make(chan bool, 1), leave: a.leave}
 	m.work = d.modelWork(call, a, m.stop)
 	if d.quarantine(ctx, call, a, m.work) {
 		return nil
