--- /dev/null
+++ b/internal/engine/client_test.go
@@ -0,0 +1,97 @@
+package engine_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+
+	"apricotbridge/internal/engine"
+	"apricotbridge/internal/standin"
+)
+
+func chunk(id, text, finish string) string {
+	return "id: " + id + "\ndata: {\"choices\":[{\"text\":\"" + text + "\",\"finish_reason\":" + finish + "}]}\n\n"
+}
+
+// Guards against a stream that is taken for complete, or whose tokens are taken
+// twice or out of order, when the engine misbehaves.
+func TestStreamTakesTokensInOrderOnly(t *testing.T) {
+	const stop = `"stop"`
+	for _, c := range []struct {
+		name, stream, want string
+		err                error
+	}{
+		{"complete", chunk("1", "a", "null") + chunk("2", "b", stop) + "data: [DONE]\n\n", "ab", nil},
+		{"repeated", chunk("1", "a", "null") + chunk("1", "a", "null") + chunk("2", "b", stop) + "data: [DONE]\n\n", "ab", nil},
+		{"gap", chunk("1", "a", "null") + chunk("3", "c", stop) + "data: [DONE]\n\n", "a", engine.ErrBroken},
+		{"cut off", chunk("1", "a", "null"), "a", engine.ErrBroken},
+		{"end without a finish reason", chunk("1", "a", "null") + "data: [DONE]\n\n", "a", engine.ErrBroken},
+		{"end without [DONE]", chunk("1", "a", stop), "a", engine.ErrBroken},
+		{"not JSON", "id: 1\ndata: {\n\n", "", engine.ErrBroken},
+		{"no number", "id: x\ndata: {}\n\n", "", engine.ErrBroken},
+		{"no choice", "id: 1\ndata: {\"choices\":[]}\n\n", "", engine.ErrBroken},
+	} {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, c.stream) }))
+		var got strings.Builder
+		err := (&engine.Client{}).Stream(t.Context(), strings.TrimPrefix(s.URL, "http://"), engine.Request{Body: []byte("{}")}, func(k engine.Token) error {
+			got.WriteString(k.Text)
+			return nil
+		})
+		s.Close()
+		if got.String() != c.want || !errors.Is(err, c.err) && err != c.err { //nolint:errorlint // A nil error is compared as well.
+			t.Errorf("%s: %q and %v, want %q and %v", c.name, got.String(), err, c.want, c.err)
+		}
+	}
+}
+
+// Guards against an engine that hangs for ever within a stream, and against a
+// closed port that is taken for a request that may have run.
+func TestSilenceAndClosedPort(t *testing.T) {
+	release := make(chan struct{})
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, chunk("1", "a", "null"))
+		_ = http.NewResponseController(w).Flush()
+		<-release
+	}))
+	address := strings.TrimPrefix(s.URL, "http://")
+	c := &engine.Client{Idle: 50 * time.Millisecond}
+	each := func(engine.Token) error { return nil }
+	if err := c.Stream(t.Context(), address, engine.Request{Body: []byte("{}")}, each); !errors.Is(err, engine.ErrBroken) {
+		t.Errorf("silence: %v", err)
+	}
+	close(release)
+	s.Close()
+	if err := c.Stream(t.Context(), address, engine.Request{Body: []byte("{}")}, each); !errors.Is(err, engine.ErrNotStarted) {
+		t.Errorf("closed port: %v", err)
+	}
+}
+
+// Guards against a holder of a duty that goes on to give orders after another has
+// taken over: an engine that checks fencing numbers refuses the old one.
+func TestOldFencingNumberIsRefused(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		e := &standin.Engine{Slots: 1, ChecksFencing: checks}
+		s := httptest.NewServer(e.Handler())
+		address := strings.TrimPrefix(s.URL, "http://")
+		c := &engine.Client{}
+		command := func(fence int64) error {
+			return c.Command(context.Background(), address, engine.Command{Fence: fence, Model: "m"})
+		}
+		if err := command(2); err != nil {
+			t.Fatal(err)
+		}
+		if err := command(2); err != nil {
+			t.Errorf("repeated command: %v", err)
+		}
+		if err := command(1); errors.Is(err, engine.ErrFenced) != checks {
+			t.Errorf("checks %v: old number: %v", checks, err)
+		}
+		s.Close()
+	}
+}
