entry: take a leaving server out of the table before its requests are stopped

Cause: the requests of a leaving server were stopped before the routing table was built again, so the next attempt could go back to the same server and recompute everything there. The table is now published first.

Ruled out: excluding the last server at the attempt, because a preempted request may well go back to its server and use its cache.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -193,6 +193,7 @@
 // changed acts on changes of members: it logs them, tells peers, and moves the
 // requests of servers that are leaving.
 func (c *controlState) changed(now time.Time, changes []membership.Change) {
+	var leaving []membership.Member
 	for _, change := range changes {
 		m := change.Member
 		c.stale = true
@@ -201,20 +202,32 @@
 		}
 		c.d.Log.Info("backend server changed", "Server", m.Server, "Incarnation", m.Incarnation, "Service", m.Service,
 			"ServerPlace", m.Place, "State", m.State.String(), "Before", change.Before.String(), "Suspect", m.Suspect(now))
-		if m.State < membership.Leaving || change.Before >= membership.Leaving {
-			continue
+		if m.State >= membership.Leaving && change.Before < membership.Leaving {
+			leaving = append(leaving, m)
 		}
-		left := time.Duration(0)
-		if end, ok := c.ends[m.Server]; ok && m.State == membership.Leaving {
-			left = end.Sub(now)
-		}
-		if n := c.d.dispatcher.StopServer(m.Server, m.Incarnation, left); n > 0 {
-			c.d.Log.Info("requests move away from a leaving server", "Server", m.Server, "Requests", n, "Left", left.String())
+	}
+	if len(leaving) > 0 {
+		// The table comes first, so that no request goes back to the server that it
+		// has just left.
+		c.publish(now)
+		for _, m := range leaving {
+			c.moveAway(now, m)
 		}
 	}
 	c.share(changes)
 }
 
+// moveAway stops the requests at a server that will not be done before it ends.
+func (c *controlState) moveAway(now time.Time, m membership.Member) {
+	left := time.Duration(0)
+	if end, ok := c.ends[m.Server]; ok && m.State == membership.Leaving {
+		left = end.Sub(now)
+	}
+	if n := c.d.dispatcher.StopServer(m.Server, m.Incarnation, left); n > 0 {
+		c.d.Log.Info("requests move away from a leaving server", "Server", m.Server, "Requests", n, "Left", left.String())
+	}
+}
+
 // share tells peers the changes that concern them.
 func (c *controlState) share(changes []membership.Change) {
 	shared := slices.DeleteFunc(slices.Clone(changes), func(ch membership.Change) bool { return !ch.Share })
