scaling: repeat orders of servers and replace steady ones only when others are ready

Cause: an order that is not changed does not replace servers that were reclaimed, so that the fleet stayed short after each reclaim; and steady servers were given up while the cheap ones that replace them were starting.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -254,8 +254,14 @@
 // began notes that a server may have begun to run the request.
 func (s *session) began() {
 	s.counted++
-	if !s.ran {
-		s.ran = true
+	s.ran = true
+}
+
+// running counts a request whose answer has begun: at an engine, a request begins
+// to run with its first token.
+func (s *session) running() {
+	if !s.counts {
+		s.counts = true
 		s.g.countRun(time.Now(), s.organisation())
 	}
 }
@@ -279,6 +285,7 @@
 	if s.route.Stream && res.Status == http.StatusOK {
 		return s.relay(ctx, cancel, server, res)
 	}
+	s.running()
 	body, err := res.ReadBody(answerBytes)
 	if err != nil {
 		return s.unansweredBody(ctx, server, err)
--- a/internal/gateway/duty.go
+++ b/internal/gateway/duty.go
@@ -33,7 +33,10 @@
 	// orderEvery is how often the servers to have are worked out.
 	orderEvery = 500 * time.Millisecond
 	// orderRetry is the wait after an order that failed.
-	orderRetry = 2 * time.Second
+	orderRetry = time.Second
+	// orderAgain is how long beyond the boot time an order is given to bring its
+	// servers before it is repeated. An order does not replace servers that left.
+	orderAgain = 1500 * time.Millisecond
 )
 
 // Report is the usage of one window.
@@ -343,7 +346,7 @@
 			continue
 		}
 		for _, o := range s.plan(now, v, service) {
-			s.give(ctx, now, o)
+			s.give(ctx, now, service, s.ready(v, service, o.Place, o.Reclaimable), o)
 		}
 	}
 }
@@ -367,7 +370,8 @@
 	demand.PromptTokens *= float64(v.Peers + 1)
 	demand.OutputTokens *= float64(v.Peers + 1)
 	var orders []ServerOrder
-	for _, o := range p.Orders(now, demand, places(v, service)) {
+	list := s.places(now, v, service)
+	for _, o := range p.Orders(now, demand, list) {
 		orders = append(orders,
 			ServerOrder{Service: service.Name, Place: o.Place, Reclaimable: true, Count: o.Reclaimable},
 			ServerOrder{Service: service.Name, Place: o.Place, Count: o.Steady})
@@ -376,36 +380,44 @@
 }
 
 // places returns the servers of a service by place.
-func places(v *View, service *Service) []scaling.Place {
-	byName := map[string]*scaling.Place{}
-	for name, price := range service.Scaling.Prices {
-		byName[name] = &scaling.Place{Name: name, Price: price}
+func (s *dutyState) places(now time.Time, v *View, service *Service) []scaling.Place {
+	var list []scaling.Place
+	for _, name := range slices.Sorted(maps.Keys(service.Scaling.Prices)) {
+		p := scaling.Place{
+			Name: name, Price: service.Scaling.Prices[name],
+			Steady: s.ready(v, service, name, false), Reclaimable: s.ready(v, service, name, true),
+		}
+		last := s.ordered[orderKey{service.Name, name, true}]
+		if last.err == nil && now.Sub(last.at) < service.Scaling.Boot+orderAgain {
+			p.Coming = max(last.count-p.Reclaimable, 0)
+		}
+		list = append(list, p)
 	}
+	return list
+}
+
+// ready counts the servers of a kind in a place that take work.
+func (s *dutyState) ready(v *View, service *Service, place string, reclaimable bool) int {
+	n := 0
 	for _, m := range v.Members {
-		p := byName[m.Place]
-		switch {
-		case p == nil || m.Service != service.Name || !m.Accepting():
-		case m.Reclaimable:
-			p.Reclaimable++
-		default:
-			p.Steady++
+		if m.Service == service.Name && m.Place == place && m.Reclaimable == reclaimable && m.Accepting() {
+			n++
 		}
 	}
-	var list []scaling.Place
-	for _, name := range slices.Sorted(maps.Keys(byName)) {
-		list = append(list, *byName[name])
-	}
-	return list
+	return n
 }
 
-// give sends an order unless it was given already.
-func (s *dutyState) give(ctx context.Context, now time.Time, o ServerOrder) {
+// give sends an order unless it was given already and its servers are there, or
+// may still be starting.
+func (s *dutyState) give(ctx context.Context, now time.Time, service *Service, ready int, o ServerOrder) {
 	key := orderKey{o.Service, o.Place, o.Reclaimable}
 	last, given := s.ordered[key]
-	if given && last.err == nil && last.count == o.Count || last.err != nil && now.Sub(last.at) < orderRetry {
+	age := now.Sub(last.at)
+	switch {
+	case !given:
+	case last.err != nil && age < orderRetry:
 		return
-	}
-	if !given && o.Reclaimable && o.Count == 0 {
+	case last.err == nil && last.count == o.Count && (ready >= o.Count || age < service.Scaling.Boot+orderAgain):
 		return
 	}
 	if !s.duty.MayOrder(bootTime()) {
@@ -420,5 +432,5 @@
 		outcome = err.Error()
 	}
 	s.g.Log.Info("servers ordered", "Service", o.Service, "ServerPlace", o.Place, "Reclaimable", o.Reclaimable,
-		"Count", o.Count, "Fence", s.duty.Fence(), "Outcome", outcome)
+		"Count", o.Count, "Ready", ready, "Fence", s.duty.Fence(), "Outcome", outcome)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -104,8 +104,8 @@
 	// duty out.
 	Reporter Reporter
 	Orderer  Orderer
-	Log     logr.Logger
-	Metrics metrics.Registry
+	Log      logr.Logger
+	Metrics  metrics.Registry
 
 	// start tells the starts of this daemon apart.
 	start      int64
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -152,6 +152,7 @@
 		now := time.Now()
 		s.g.dispatcher.FirstToken(now, s.call.ID)
 		s.g.measures.first(now.Sub(s.received))
+		s.running()
 	}
 	if _, err := s.w.Write(events); err != nil {
 		return errors.Annotate(err, "write to the caller")
@@ -216,6 +217,7 @@
 	if !s.stream.started {
 		s.start(res) // A stream without events.
 	}
+	res.Close() // Before the context of the attempt ends, which closes the connection.
 	s.finish()
 	s.logEnd("Answered", res.Status, server.ID)
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -84,6 +84,8 @@
 	taken float64
 	// ran says that a server may have begun to run the request.
 	ran bool
+	// counts says that the request counts in the usage of its organisation.
+	counts bool
 	// sent is the number of servers that got the request, and counted those that
 	// may have run it.
 	sent, counted int
--- a/internal/scaling/scaling.go
+++ b/internal/scaling/scaling.go
@@ -16,8 +16,11 @@
 	Name string
 	// Price of a server per second.
 	Price float64
-	// Steady and Reclaimable are the servers that are ready.
+	// Steady and Reclaimable are the servers that take work.
 	Steady, Reclaimable int
+	// Coming is the number of reclaimable servers that were ordered so lately that
+	// they may still be starting.
+	Coming int
 }
 
 // Demand is what callers asked of the service lately.
@@ -50,10 +53,9 @@
 const (
 	// targetUse is the part of the servers' time that demand may take. Prompts
 	// arrive unevenly, and the first token of an urgent request waits for those ahead.
-	targetUse = 0.45
-	// steadyShare is the part of the demand that steady servers carry alone, for the
-	// time in which every reclaimable server of several places is gone.
-	steadyShare = 0.35
+	targetUse = 0.5
+	// leastLevel is the number of servers provided for before any demand is known.
+	leastLevel = 8
 	// shrinkAfter is how long demand has to be below before servers are given up.
 	// Starting one again takes its boot time.
 	shrinkAfter = 10 * time.Second
@@ -82,7 +84,7 @@
 
 // Orders returns the servers to have in each place.
 func (p *Plan) Orders(now time.Time, d Demand, places []Place) []Order {
-	needed := max(Needed(d, p.Options), 1)
+	needed := max(Needed(d, p.Options), leastLevel)
 	switch {
 	case needed >= p.level:
 		p.level, p.lowered = needed, now
@@ -95,18 +97,24 @@
 	})
 	o := p.Options
 	orders := make([]Order, len(places))
-	steady, reclaimable := int(math.Ceil(p.level)), 0
-	if o.ReclaimablePrice > 0 {
-		steady = int(math.Ceil(p.level * steadyShare))
-		// The rest still stands when the place with the most of them is reclaimed.
-		n := max(len(places)-1, 1)
-		reclaimable = int(math.Ceil(p.level/float64(n))) * len(places)
-	}
 	for i, place := range places {
 		orders[i].Place = place.Name
 	}
+	steady := int(math.Ceil(p.level))
+	if o.ReclaimablePrice > 0 {
+		// What remains stands when the place with the most of them is reclaimed.
+		each := int(math.Ceil(p.level / float64(max(len(places)-1, 1))))
+		spread(orders, each*len(places), o.Max, func(x *Order) *int { return &x.Reclaimable })
+		ready, coming, present := 0, 0, 0
+		for i, place := range places {
+			ready += min(place.Reclaimable, orders[i].Reclaimable)
+			coming += place.Coming
+			present += place.Steady
+		}
+		// Steady servers stay until those that replace them take work.
+		steady = max(steady-ready-coming, min(steady-ready, present), 0)
+	}
 	spread(orders, steady, o.Max, func(x *Order) *int { return &x.Steady })
-	spread(orders, reclaimable, o.Max, func(x *Order) *int { return &x.Reclaimable })
 	for i := range orders {
 		if short := o.Min - orders[i].Steady - orders[i].Reclaimable; short > 0 {
 			orders[i].Steady += short
