gateway: one daemon polls the store for all

Each daemon also paid for reads that brought the others the same.

The first daemon that is alive reads the configuration and lists the servers every 0.7 s and tells the others what changed, with a hash by which they see that they know the same; whoever is not told reads for itself. Candidates for the duty do not ask the store while the holder is heard.

Ruled out: a shorter wait of the watch, which is deaf all the same.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -7,9 +7,12 @@
 package fleet
 
 import (
+	"encoding/binary"
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -219,6 +222,27 @@
 	return changes
 }
 
+// Hash returns a hash of the registered servers, by which daemons that exchange
+// changes see whether they know the same.
+func (s *Set) Hash() uint64 {
+	sum := uint64(0)
+	for _, m := range s.members {
+		if !m.lapsed.IsZero() {
+			continue
+		}
+		d := xxhash.New()
+		var start [9]byte
+		binary.LittleEndian.PutUint64(start[:], uint64(m.Incarnation))
+		if m.Leaving {
+			start[8] = 1
+		}
+		_, _ = d.Write(start[:])
+		_, _ = d.WriteString(m.ID + "\x00" + m.Service + "\x00" + m.Address)
+		sum += d.Sum64()
+	}
+	return sum
+}
+
 // Members returns the members in order of their ids.
 func (s *Set) Members() []Member {
 	list := make([]Member, 0, len(s.members))
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -9,6 +9,7 @@
 
 	"apricotbridge/internal/admission"
 	"apricotbridge/internal/fleet"
+	"apricotbridge/internal/keyvalue"
 	"apricotbridge/internal/message"
 	"apricotbridge/internal/peer"
 	"apricotbridge/internal/quarantine"
@@ -69,10 +70,8 @@
 	registered map[string]Daemon
 	peers      map[string]*peerState
 	// listed says that the servers were listed once.
-	listed bool
-	// fetching says that a configuration is being read.
-	fetching bool
-	changed  bool
+	listed  bool
+	changed bool
 }
 
 // suspect is a server to which connections failed.
@@ -165,22 +164,54 @@
 	}
 }
 
-// registrations takes changes of the servers' entries.
-func (c *control) registrations(now time.Time, list []fleet.Registration) {
-	for _, r := range list {
-		if change, ok := c.fleet.Apply(now, r); ok {
-			c.serverChanged(now, change)
-		}
-	}
-}
-
-// listing takes all entries of the servers.
-func (c *control) listing(now time.Time, revision int64, list []fleet.Registration) {
+// listing takes all entries of the servers and tells the peers what changed.
+func (c *control) listing(now time.Time, revision int64, entries []keyvalue.Entry) {
 	if !c.listed {
 		c.listed, c.changed = true, true
 	}
+	byID := make(map[string]keyvalue.Entry, len(entries))
+	list := make([]fleet.Registration, 0, len(entries))
+	for _, e := range entries {
+		r := c.g.Decoder.Registration(e)
+		byID[r.ID] = e
+		list = append(list, r)
+	}
+	m := message.Listing{Revision: revision}
 	for _, change := range c.fleet.Replace(now, revision, list) {
 		c.serverChanged(now, change)
+		e, ok := byID[change.Member.ID]
+		if !ok {
+			e = keyvalue.Entry{Key: c.g.Keys.Servers + change.Member.ID, Revision: revision, Deleted: true}
+		}
+		m.Changes = append(m.Changes, message.StoreEntry{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted})
+	}
+	m.Hash = c.fleet.Hash()
+	if c.index != nil {
+		m.Version = c.index.Version
+	}
+	data, err := message.Encode(message.KindListing, m)
+	if err != nil {
+		c.g.Log.Error(err, "listing not sent")
+		return
+	}
+	for id := range c.peers {
+		if err := c.g.hub.Send(id, message.KindListing, data); err != nil {
+			c.g.Log.V(1).Info("listing not sent", "Peer", id, "Error", err.Error())
+		}
+	}
+}
+
+// told takes what a peer read from the store. A daemon that then knows the same as
+// the peer need not read it.
+func (c *control) told(now time.Time, m message.Listing) {
+	for _, e := range m.Changes {
+		r := c.g.Decoder.Registration(keyvalue.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted})
+		if change, ok := c.fleet.Apply(now, r); ok {
+			c.serverChanged(now, change)
+		}
+	}
+	if c.listed && c.index != nil && c.index.Version >= m.Version && c.fleet.Hash() == m.Hash {
+		c.g.fresh.Store(&now)
 	}
 }
 
@@ -270,12 +301,10 @@
 		c.g.Log.Info("peer draining", "Peer", from.Daemon, "Draining", s.Draining)
 	}
 	p.hello, p.heard = from, now
-	switch {
-	case c.index != nil && s.Revision < c.index.Version:
+	if c.index != nil && s.Revision < c.index.Version {
 		c.share(&from.Daemon)
-	case (c.index == nil || s.Revision > c.index.Version) && !c.fetching:
-		c.g.Log.V(1).Info("peer has a newer configuration", "Peer", from.Daemon, "Version", s.Revision)
 	}
+	c.g.dutyHeard(now, s.Duty)
 }
 
 // peerDown takes the end of the last link to a peer.
--- a/internal/gateway/duty.go
+++ b/internal/gateway/duty.go
@@ -25,6 +25,8 @@
 	dutyTick = 100 * time.Millisecond
 	// dutyCall bounds a call of the duty, so that a renewal is not held up.
 	dutyCall = 700 * time.Millisecond
+	// dutySilence is how long after its last message the holder is taken to be well.
+	dutySilence = 800 * time.Millisecond
 	// reportedKey holds the usage report that was sent last, or is about to be.
 	reportedKey = "usage/reported"
 	// reportAfter is how long after the end of a window its report is made. Peers
@@ -135,6 +137,12 @@
 		if g.draining.Load() {
 			s.perform(ctx, s.duty.Step(bootTime(), lease.Resign{}))
 		}
+		g.holding.Store(s.duty.Holds(bootTime()))
+		if t := g.othersDuty.Load(); !g.holding.Load() && t != nil && time.Since(*t) < dutySilence {
+			s.sample(time.Now())
+			s.read = false
+			continue // The holder is well; the store need not be asked.
+		}
 		s.perform(ctx, s.duty.Step(bootTime(), lease.Tick{}))
 		s.sample(time.Now())
 		if s.duty.MayOrder(bootTime()) {
@@ -146,6 +154,13 @@
 	}
 }
 
+// dutyHeard notes whether a peer holds the duty.
+func (g *Gateway) dutyHeard(now time.Time, holds bool) {
+	if holds {
+		g.othersDuty.Store(&now)
+	}
+}
+
 // perform does the calls of the duty's state machine.
 func (s *dutyState) perform(ctx context.Context, actions []lease.Action) {
 	for len(actions) > 0 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,10 +58,8 @@
 
 // Keys are the places in the store that others write.
 type Keys struct {
-	// Configuration is the key of the configuration, and ConfigurationPrefix a
-	// prefix under which little else changes.
-	Configuration       string
-	ConfigurationPrefix string
+	// Configuration is the key of the configuration.
+	Configuration string
 	// Servers is the prefix of the servers' entries.
 	Servers string
 }
@@ -112,8 +110,12 @@
 	dispatcher *dispatch.Dispatcher
 	hub        *peer.Hub
 	view       atomic.Pointer[View]
-	events     chan func(*control)
-	measures   *measures
+	// fresh is when the store was last read by this daemon or by a peer that told.
+	fresh atomic.Pointer[time.Time]
+	// document is the configuration that was read last.
+	document atomic.Pointer[[]byte]
+	events   chan func(*control)
+	measures *measures
 
 	quotaMu sync.Mutex
 	quotas  *quota.Book
@@ -127,6 +129,11 @@
 
 	demand *demand
 
+	// holding says that this daemon holds the duty, and othersDuty when a peer last
+	// said that it does.
+	holding    atomic.Bool
+	othersDuty atomic.Pointer[time.Time]
+
 	draining atomic.Bool
 	drained  chan struct{}
 	inFlight atomic.Int64
@@ -183,8 +190,7 @@
 	}{
 		{"control", g.runControl},
 		{"peers", g.hub.Run},
-		{"configuration", g.watchConfiguration},
-		{"servers", g.watchServers},
+		{"store", g.pollStore},
 		{"registration", g.keepRegistration},
 		{"daemons", g.watchDaemons},
 		{"status", g.sendStatus},
--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
@@ -8,17 +9,22 @@
 
 	"github.com/juju/errors"
 
-	"apricotbridge/internal/fleet"
 	"apricotbridge/internal/keyvalue"
 	"apricotbridge/internal/message"
 )
 
 const (
-	// watchWait is how long the store holds a watch of what changes seldom.
+	// watchWait is how long the store holds a watch of the daemons.
 	watchWait = 15 * time.Second
-	// pollServers is how often the servers' entries are read. Each of them changes
-	// about once a second, so that a watch would return at once.
-	pollServers = 700 * time.Millisecond
+	// pollEvery is how often the store is read. A server that leaves takes no new
+	// work within 2.5 s, and a configuration is in force within as long.
+	pollEvery = 700 * time.Millisecond
+	// pollStagger is how much longer each further daemon waits to be told, and
+	// pollLatest bounds it.
+	pollStagger = 150 * time.Millisecond
+	pollLatest  = 600 * time.Millisecond
+	// pollTick is how often a daemon looks whether a poll is due.
+	pollTick = 50 * time.Millisecond
 	// storeRetry is the wait after a call to the store that failed. It is drawn up
 	// to twice as long, so that the daemons do not call at the same moment.
 	storeRetry = 200 * time.Millisecond
@@ -65,93 +71,77 @@
 	}
 }
 
-// watchConfiguration reads the configuration and then its changes.
-func (g *Gateway) watchConfiguration(ctx context.Context) error {
-	dep := dependency{g: g, name: "configuration"}
-	revision := int64(-1)
+// pollStore reads the configuration and the servers' entries. One daemon does it
+// for all: it tells the others what changed, and they read for themselves when they
+// were not told, one after the other. What is read is never a watch, because one
+// that waits hears nothing while the store's history is dropped.
+func (g *Gateway) pollStore(ctx context.Context) error {
+	dep := dependency{g: g, name: "store"}
 	for ctx.Err() == nil {
-		var entries []keyvalue.Entry
-		var err error
-		if revision < 0 {
-			entries, revision, err = g.Store.List(ctx, g.Keys.ConfigurationPrefix)
-		} else {
-			var next int64
-			entries, next, err = g.Store.Changes(ctx, g.Keys.ConfigurationPrefix, revision, watchWait)
-			if err == nil {
-				revision = next
-			}
+		if !time.Now().After(g.pollDue()) {
+			pause(ctx, pollTick)
+			continue
 		}
+		err := g.readStore(ctx)
 		dep.result(err)
 		if err != nil {
-			if errors.Is(err, keyvalue.ErrCompacted) {
-				revision = -1
-				continue
-			}
+			now := time.Now()
+			g.post(func(c *control) { c.fleet.Outage(now) })
 			retryPause(ctx)
-			continue
 		}
-		for _, e := range entries {
-			if e.Key == g.Keys.Configuration && !e.Deleted {
-				g.offerConfiguration(e.Value, "Store")
-			}
+	}
+	return nil
+}
+
+// pollDue returns when this daemon reads the store unless it is told of it before.
+func (g *Gateway) pollDue() time.Time {
+	fresh := g.fresh.Load()
+	v := g.view.Load()
+	if fresh == nil || v == nil {
+		return time.Time{}
+	}
+	position := 0
+	for _, d := range v.Daemons {
+		if d.Alive && d.ID < g.Daemon {
+			position++
 		}
 	}
+	return fresh.Add(pollEvery + min(time.Duration(position)*pollStagger, pollLatest))
+}
+
+// readStore reads the store once.
+func (g *Gateway) readStore(ctx context.Context) error {
+	document, err := g.Store.Get(ctx, g.Keys.Configuration)
+	if err != nil && !errors.Is(err, keyvalue.ErrNotFound) {
+		return errors.Annotate(err, "read the configuration")
+	}
+	entries, revision, err := g.Store.List(ctx, g.Keys.Servers)
+	if err != nil {
+		return errors.Annotate(err, "list the servers")
+	}
+	if document.Revision > 0 {
+		g.offerConfiguration(document.Value, "Store")
+	}
+	now := time.Now()
+	g.fresh.Store(&now)
+	g.post(func(c *control) { c.listing(now, revision, entries) })
 	return nil
 }
 
 // offerConfiguration decodes a configuration and hands it to the control goroutine.
 func (g *Gateway) offerConfiguration(document []byte, source string) {
+	if old := g.document.Load(); old != nil && bytes.Equal(*old, document) {
+		return
+	}
 	next, err := g.Decoder.Configuration(document)
 	if err != nil {
 		g.Log.Error(err, "configuration not readable", "Source", source)
 		return
 	}
+	g.document.Store(&document)
 	g.post(func(c *control) { c.adopt(time.Now(), next, source) })
 }
 
-// watchServers lists the servers and then reads the changes.
-func (g *Gateway) watchServers(ctx context.Context) error {
-	dep := dependency{g: g, name: "servers"}
-	revision := int64(-1)
-	for ctx.Err() == nil {
-		whole := revision < 0
-		var entries []keyvalue.Entry
-		var next int64
-		var err error
-		if whole {
-			entries, next, err = g.Store.List(ctx, g.Keys.Servers)
-		} else {
-			entries, next, err = g.Store.Changes(ctx, g.Keys.Servers, revision, 0)
-		}
-		dep.result(err)
-		if err != nil {
-			now := time.Now()
-			if errors.Is(err, keyvalue.ErrCompacted) {
-				revision = -1
-				continue
-			}
-			g.post(func(c *control) { c.fleet.Outage(now) })
-			retryPause(ctx)
-			continue
-		}
-		list := make([]fleet.Registration, 0, len(entries))
-		for _, e := range entries {
-			list = append(list, g.Decoder.Registration(e))
-		}
-		now := time.Now()
-		g.post(func(c *control) {
-			if whole {
-				c.listing(now, next, list)
-			} else {
-				c.registrations(now, list)
-			}
-		})
-		revision = next
-		pause(ctx, pollServers)
-	}
-	return nil
-}
-
 // record is this daemon's entry in the store.
 type record struct {
 	Daemon        string `json:"Daemon"`
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -18,7 +18,7 @@
 
 // status returns what this daemon tells its peers.
 func (g *Gateway) status(now time.Time) message.Status {
-	s := message.Status{Clock: time.Now().UnixMilli(), Draining: g.draining.Load()}
+	s := message.Status{Clock: time.Now().UnixMilli(), Draining: g.draining.Load(), Duty: g.holding.Load()}
 	if c := g.view.Load().Configuration(); c != nil {
 		s.Revision = c.Version
 	}
@@ -60,6 +60,13 @@
 		}
 		g.merge(now, from, s)
 		g.post(func(c *control) { c.heard(now, from, s) })
+	case message.KindListing:
+		m, err := message.Decode[message.Listing](e)
+		if err != nil {
+			g.Log.Info("listing not readable", "Peer", from.Daemon, "Error", err.Error())
+			return
+		}
+		g.post(func(c *control) { c.told(now, m) })
 	case message.KindConfiguration:
 		m, err := message.Decode[message.Configuration](e)
 		if err != nil {
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -235,11 +235,28 @@
 const KindHandover Kind = "Handover"
 const KindHandoverAccepted Kind = "HandoverAccepted"
 const KindHello Kind = "Hello"
+const KindListing Kind = "Listing"
 const KindMembers Kind = "Members"
 const KindQuarantine Kind = "Quarantine"
 const KindStatus Kind = "Status"
 const KindUsage Kind = "Usage"
 
+// Listing tells the peers that the sender has read the store, so that they need
+// not.
+type Listing struct {
+	// Entries that differ from those of the listing before.
+	Changes []StoreEntry `json:"Changes,omitempty,omitzero"`
+
+	// Hash of the servers after the changes.
+	Hash uint64 `json:"Hash"`
+
+	// Revision of the store as of which the servers were listed.
+	Revision int64 `json:"Revision"`
+
+	// Configuration version that was read.
+	Version int64 `json:"Version"`
+}
+
 // Member is one backend server incarnation as the sender knows it.
 type Member struct {
 	// IP:port.
@@ -326,12 +343,12 @@
 	// Whether the sender is leaving.
 	Draining bool `json:"Draining"`
 
+	// Whether the sender holds the duty.
+	Duty bool `json:"Duty,omitempty,omitzero"`
+
 	// Backend servers at which the sender has requests; all others have none.
 	Loads []ServerLoad `json:"Loads,omitempty,omitzero"`
 
-	// Revision up to which the sender has read the servers' registrations.
-	Registered int64 `json:"Registered,omitempty,omitzero"`
-
 	// Configuration version in force.
 	Revision int64 `json:"Revision"`
 
@@ -345,6 +362,21 @@
 	Windows []WindowCount `json:"Windows,omitempty,omitzero"`
 }
 
+// StoreEntry is an entry of the store.
+type StoreEntry struct {
+	// Whether the key is gone.
+	Deleted bool `json:"Deleted,omitempty,omitzero"`
+
+	// Key.
+	Key string `json:"Key"`
+
+	// Revision of the last change.
+	Revision int64 `json:"Revision"`
+
+	// Value, empty when the key is gone.
+	Value []byte `json:"Value,omitempty,omitzero"`
+}
+
 // Suspect is one quarantine entry.
 type Suspect struct {
 	// How many of the crashes happened with no unsuspected request on the server.
