gateway: never complete an answer whose request ended early

Such requests now close their connection. New streams are taken for 2.5 s of a drain only, so that those taken end within the grace time.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -62,9 +62,7 @@
 		select {
 		case grant = <-s.work.Grants():
 		case <-s.r.Context().Done():
-			s.cancel()
-			s.logEnd("CallerGone", 0, "while waiting")
-			return
+			s.gone("while waiting")
 		case <-timer.C:
 			s.cancel()
 			s.refuse(s.expired())
@@ -94,6 +92,15 @@
 	}
 }
 
+// gone ends a request whose caller has closed its connection, or whose daemon
+// ends. The connection is closed without the end of an answer: a handler that
+// returned would complete it.
+func (s *session) gone(detail string) {
+	s.cancel()
+	s.logEnd("CallerGone", 0, detail)
+	panic(http.ErrAbortHandler)
+}
+
 // expired is the problem of a request whose time is over.
 func (s *session) expired() *problem.Problem {
 	if s.ran {
@@ -240,9 +247,7 @@
 		s.began()
 	}
 	if s.r.Context().Err() != nil {
-		s.cancel()
-		s.logEnd("CallerGone", 0, "at server "+server.ID)
-		return result{done: true}
+		s.gone("at server " + server.ID)
 	}
 	if !errors.Is(context.Cause(ctx), errLeaving) {
 		s.g.post(func(c *control) { c.suspected(time.Now(), server.ID) })
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -11,6 +11,9 @@
 	// lookupTime is how long callers may go on to use this daemon after it was
 	// taken out of look-ups: the time for which they keep an answer.
 	lookupTime = 5 * time.Second
+	// streamTime is how long after the start of a drain new streams are taken. Later
+	// ones might not end within the grace time.
+	streamTime = 2500 * time.Millisecond
 	// drainMargin is kept before SIGKILL for the end of the process.
 	drainMargin = 400 * time.Millisecond
 	// drainPoll is how often a drain looks for requests in flight.
@@ -31,6 +34,7 @@
 		return
 	}
 	started := time.Now()
+	g.drainStart.Store(&started)
 	end := started.Add(g.Bounds.Grace - drainMargin)
 	g.Log.Info("drain started", "InFlight", g.inFlight.Load(), "Until", end)
 	g.post(func(c *control) { c.changed = true })
@@ -45,6 +49,18 @@
 	close(g.drained)
 }
 
+// accepting reports whether a request that arrives now is served.
+func (g *Gateway) accepting(now time.Time, stream bool) bool {
+	started := g.drainStart.Load()
+	switch {
+	case started == nil:
+		return true
+	case stream:
+		return now.Sub(*started) < streamTime
+	}
+	return now.Sub(*started) < min(lookupTime, g.Bounds.Grace/2)
+}
+
 // serverLeaving moves the runs of a server that is leaving once they had a part of
 // the time that is left to end by themselves.
 func (g *Gateway) serverLeaving(now time.Time, m fleet.Member) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -134,9 +134,10 @@
 	holding    atomic.Bool
 	othersDuty atomic.Pointer[time.Time]
 
-	draining atomic.Bool
-	drained  chan struct{}
-	inFlight atomic.Int64
+	draining   atomic.Bool
+	drainStart atomic.Pointer[time.Time]
+	drained    chan struct{}
+	inFlight   atomic.Int64
 }
 
 // backlog is the longest time of prompt processing that may wait in a server that
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -69,9 +69,7 @@
 				if errors.Is(passErr, errNotNext) {
 					return s.broken(ctx, server, passErr)
 				}
-				s.cancel()
-				s.logEnd("CallerGone", 0, passErr.Error())
-				return result{done: true}
+				s.gone(passErr.Error())
 			}
 			pending = append(pending[:0], pending[whole+2:]...)
 		}
@@ -124,9 +122,7 @@
 // broken judges a stream that ended early.
 func (s *session) broken(ctx context.Context, server routing.Server, err error) result {
 	if s.r.Context().Err() != nil {
-		s.cancel()
-		s.logEnd("CallerGone", 0, "at server "+server.ID)
-		return result{done: true}
+		s.gone("at server " + server.ID)
 	}
 	ending := dispatch.Broken
 	if errors.Is(context.Cause(ctx), errLeaving) {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -131,23 +131,13 @@
 		return p
 	}
 	s.received = time.Now()
-	if s.draining() {
+	if !s.g.accepting(s.received, s.route.Stream) {
 		return problem.New(problem.Draining, "daemon is leaving")
 	}
 	s.limits()
 	return s.takeQuota()
 }
 
-// draining reports whether the daemon takes no new requests any more.
-func (s *session) draining() bool {
-	select {
-	case <-s.g.drained:
-		return true
-	default:
-		return false
-	}
-}
-
 func (s *session) authenticate(index *index) *problem.Problem {
 	s.rank = s.route.Rank
 	if len(index.Organisations) == 0 || s.route.Public {
@@ -158,7 +148,9 @@
 		return problem.New(problem.Unauthorized, "unknown key")
 	}
 	if s.org.Rank != nil {
-		s.rank = *s.org.Rank
+		// The organisation's rank goes first, and that of the route orders requests of
+		// equal ones.
+		s.rank = *s.org.Rank*routeRanks + min(s.route.Rank, routeRanks-1)
 	}
 	return nil
 }
@@ -269,10 +261,34 @@
 	return w
 }
 
-// startBy is the latest time for the first part of the answer: the deadline less
-// the time for the rest of it.
+// routeRanks is how many ranks of routes are told apart within one of an
+// organisation.
+const routeRanks = 3
+
+const (
+	// startPart of its target is how long a request may wait for a server: one that
+	// waits longer gets its first event late, and keeps others from theirs.
+	startPart = 0.7
+	// lateStartPart of the deadline is how long a request may wait whose caller has
+	// come back, so that it is late in any case.
+	lateStartPart = 0.3
+)
+
+// startBy is the latest time at which the request is sent to a server. One that is
+// refused then or before is told when to come back.
 func (s *session) startBy() time.Time {
-	return s.deadline.Add(-min(s.route.Target, s.deadline.Sub(s.received)/4))
+	wait := time.Duration(startPart * float64(s.route.Target))
+	left := s.deadline.Sub(s.received)
+	if s.cameBack() {
+		wait = max(wait, time.Duration(lateStartPart*float64(left)))
+	}
+	return s.received.Add(min(wait, left))
+}
+
+// cameBack reports whether the caller states less time than its route allows, as
+// one does that was refused before.
+func (s *session) cameBack() bool {
+	return s.call.Deadline > 0 && s.call.Deadline < s.route.Timeout-s.route.Target/2
 }
 
 // maxRetryAfter bounds what a caller is told. A longer time than a third of what
