scaling: provide cheap servers for slack and steady ones for the next reclaim

A server whose time goes to prompts for half generates at a third of its speed, so that long streams passed their deadline.

Steady servers now bear the demand that remains after one more reclaim, cheap ones are ordered for a tenth of their time, and demand is summed over the daemons instead of taken from one.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -50,7 +50,7 @@
 func (s *session) run() {
 	g := s.g
 	s.work = s.newWork()
-	g.demand.arrived(s.service, &s.call)
+	g.demand.arrived(s.received, s.service, &s.call)
 	if p := g.dispatcher.Submit(time.Now(), s.work); p != nil {
 		s.refuse(p)
 		return
--- a/internal/gateway/duty.go
+++ b/internal/gateway/duty.go
@@ -100,7 +100,6 @@
 	// ordered holds what was ordered, by service, place and kind.
 	ordered map[orderKey]orderState
 	planned time.Time
-	rates   map[string]*demandRate
 }
 
 type orderKey struct {
@@ -121,7 +120,7 @@
 		return nil
 	}
 	seed := uint64(g.start)
-	s := &dutyState{g: g, plans: map[string]*scaling.Plan{}, ordered: map[orderKey]orderState{}, rates: map[string]*demandRate{}}
+	s := &dutyState{g: g, plans: map[string]*scaling.Plan{}, ordered: map[orderKey]orderState{}}
 	s.duty = lease.New(lease.Config{
 		Name: dutyName, Holder: g.Daemon, Incarnation: seed, Lease: g.Bounds.Lease, OrderLifetime: dutyCall,
 		Rand: rand.New(rand.NewPCG(seed, 2)), //nolint:gosec // Not for secrets.
@@ -139,12 +138,10 @@
 		}
 		g.holding.Store(s.duty.Holds(bootTime()))
 		if t := g.othersDuty.Load(); !g.holding.Load() && t != nil && time.Since(*t) < dutySilence {
-			s.sample(time.Now())
 			s.read = false
 			continue // The holder is well; the store need not be asked.
 		}
 		s.perform(ctx, s.duty.Step(bootTime(), lease.Tick{}))
-		s.sample(time.Now())
 		if s.duty.MayOrder(bootTime()) {
 			s.report(ctx)
 			s.order(ctx, time.Now())
@@ -303,43 +300,6 @@
 	s.g.Log.Info("usage reported", "Window", s.reported.Window, "Requests", s.reported.Requests, "Fence", s.duty.Fence())
 }
 
-// demandRate turns the sums of a service's demand into rates.
-type demandRate struct {
-	last demandCount
-	at   time.Time
-	rate scaling.Demand
-}
-
-// sample updates the rates of demand. Every daemon does, so that a new holder of
-// the duty knows them.
-func (s *dutyState) sample(now time.Time) {
-	d := s.g.demand
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for name, c := range d.services {
-		r := s.rates[name]
-		if r == nil {
-			r = &demandRate{at: now}
-			s.rates[name] = r
-			continue
-		}
-		span := now.Sub(r.at)
-		if span < time.Second {
-			continue
-		}
-		// Shared parts are read again when they have left every cache, which happens to
-		// a part of them.
-		prompt := float64(c.own-r.last.own) + reread*float64(c.shared-r.last.shared)
-		weight := min(span.Seconds()/demandLife.Seconds(), 1)
-		r.rate.PromptTokens += weight * (prompt/span.Seconds() - r.rate.PromptTokens)
-		r.rate.OutputTokens += weight * (float64(c.output-r.last.output)/span.Seconds() - r.rate.OutputTokens)
-		r.last, r.at = *c, now
-	}
-}
-
-// reread is the part of the shared prompt tokens that is assumed to be read again.
-const reread = 0.1
-
 // outputRate is the rate at which a full server generates tokens: 64 slots at
 // 7 ms a step (letter 2).
 const outputRate = 9000
@@ -366,8 +326,7 @@
 	}
 }
 
-// plan returns the orders for one service. The demand at this daemon stands for an
-// equal part of that at all.
+// plan returns the orders for one service.
 func (s *dutyState) plan(now time.Time, v *View, service *Service) []ServerOrder {
 	p := s.plans[service.Name]
 	if p == nil {
@@ -378,12 +337,7 @@
 		Min: service.Scaling.Min, Max: service.Scaling.Max, ReclaimablePrice: service.Scaling.ReclaimablePrice,
 		PromptRate: prefillRate, OutputRate: outputRate,
 	}
-	var demand scaling.Demand
-	if r := s.rates[service.Name]; r != nil {
-		demand = r.rate
-	}
-	demand.PromptTokens *= float64(v.Peers + 1)
-	demand.OutputTokens *= float64(v.Peers + 1)
+	demand := s.g.demand.total(now, service.Name)
 	var orders []ServerOrder
 	list := s.places(now, v, service)
 	for _, o := range p.Orders(now, demand, list) {
--- a/internal/gateway/measures.go
+++ b/internal/gateway/measures.go
@@ -8,8 +8,6 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
-
-	"apricotbridge/internal/routing"
 )
 
 const (
@@ -77,47 +75,3 @@
 		fmt.Fprintf(w, "%s %d\n", name("configuration.version"), c.Version)
 	}
 }
-
-// demandLife is the time over which the demand of a service is averaged. Orders of
-// servers take effect after seconds.
-const demandLife = 5 * time.Second
-
-// demand counts the work that callers ask for, by service.
-type demand struct {
-	mu       sync.Mutex
-	services map[string]*demandCount
-}
-
-// demandCount sums what callers ask of one service since the start.
-type demandCount struct {
-	requests int64
-	// own is the prompt tokens of the last part, which no other request shares.
-	own int64
-	// shared is the prompt tokens of the other parts.
-	shared int64
-	output int64
-}
-
-func newDemand() *demand { return &demand{services: map[string]*demandCount{}} }
-
-func (d *demand) arrived(service string, call *Call) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	c := d.services[service]
-	if c == nil {
-		c = &demandCount{}
-		d.services[service] = c
-	}
-	c.requests++
-	c.output += int64(call.expected())
-	shared := sharedTokens(call.Parts)
-	c.shared += int64(shared)
-	c.own += int64(max(call.PromptTokens-shared, 0))
-}
-
-func sharedTokens(parts []routing.Part) int {
-	if len(parts) < 2 {
-		return 0
-	}
-	return parts[len(parts)-2].Tokens
-}
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -25,6 +25,7 @@
 	for _, l := range g.dispatcher.Loads() {
 		s.Loads = append(s.Loads, message.ServerLoad{Server: l.Server, Running: l.Running, Pending: l.Pending})
 	}
+	s.Demands = g.demand.own(now)
 	g.sentMu.Lock()
 	s.Sent, g.sent = g.sent, nil
 	g.sentMu.Unlock()
@@ -99,6 +100,7 @@
 		g.dispatcher.PeerSent(p.Server, parts, p.Expected)
 	}
 	g.dispatcher.PeerLoads(now, from.Daemon, loads)
+	g.demand.heard(now, from.Daemon, s.Demands)
 	used := make(map[string]float64, len(s.Used))
 	for _, u := range s.Used {
 		used[u.Organisation] = u.Amount
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -334,12 +334,28 @@
 	Server string `json:"Server"`
 }
 
+// ServiceDemand is the rate at which callers ask for the work of one service at
+// one daemon.
+type ServiceDemand struct {
+	// Response tokens a second.
+	Output float64 `json:"Output"`
+
+	// Prompt tokens a second that no cache is expected to hold.
+	Prompt float64 `json:"Prompt"`
+
+	// Name of the service.
+	Service string `json:"Service"`
+}
+
 // Status is what a gateway tells its peers several times a second. Sums count from
 // the start of the sender, so that a lost message is made up for by the next.
 type Status struct {
 	// Time of day of the sender in Unix milliseconds.
 	Clock int64 `json:"Clock"`
 
+	// What callers ask of the services at the sender.
+	Demands []ServiceDemand `json:"Demands,omitempty,omitzero"`
+
 	// Whether the sender is leaving.
 	Draining bool `json:"Draining"`
 
--- a/internal/scaling/scaling.go
+++ b/internal/scaling/scaling.go
@@ -51,45 +51,51 @@
 }
 
 const (
-	// targetUse is the part of the servers' time that demand may take. Prompts
-	// arrive unevenly, and the first token of an urgent request waits for those ahead.
-	targetUse = 0.5
+	// reclaimableUse is the part of the time of cheap servers that demand may take.
+	// A step that reads a long prompt takes ten times one that does not, so that even
+	// little of it makes the streams that run beside it slow.
+	reclaimableUse = 0.09
+	// steadyUse is that part for steady servers, of which each costs several times as
+	// much.
+	steadyUse = 0.4
 	// leastLevel is the number of servers provided for before any demand is known.
-	leastLevel = 8
+	leastLevel = 24
 	// shrinkAfter is how long demand has to be below before servers are given up.
 	// Starting one again takes its boot time.
 	shrinkAfter = 10 * time.Second
 )
 
-// Needed returns how many servers the demand takes.
-func Needed(d Demand, o Options) float64 {
-	use := 0.0
+// Busy returns how many servers the demand keeps busy all the time.
+func Busy(d Demand, o Options) float64 {
+	busy := 0.0
 	if o.PromptRate > 0 {
-		use += d.PromptTokens / o.PromptRate
+		busy += d.PromptTokens / o.PromptRate
 	}
 	if o.OutputRate > 0 {
-		use += d.OutputTokens / o.OutputRate
+		busy += d.OutputTokens / o.OutputRate
 	}
-	return use / targetUse
+	return busy
 }
 
 // Plan holds the state of the orders of one service.
 type Plan struct {
 	Options Options
-	// level is the number of servers that is provided for, and lowered since when
-	// demand is below it.
-	level   float64
+	// busy is the demand that is provided for, in busy servers, and lowered since
+	// when demand is below it.
+	busy    float64
 	lowered time.Time
 }
 
 // Orders returns the servers to have in each place.
 func (p *Plan) Orders(now time.Time, d Demand, places []Place) []Order {
-	needed := max(Needed(d, p.Options), leastLevel)
+	busy := Busy(d, p.Options)
 	switch {
-	case needed >= p.level:
-		p.level, p.lowered = needed, now
+	case p.lowered.IsZero():
+		p.busy, p.lowered = max(busy, leastLevel*reclaimableUse), now
+	case busy >= p.busy:
+		p.busy, p.lowered = busy, now
 	case now.Sub(p.lowered) >= shrinkAfter:
-		p.level, p.lowered = needed, now
+		p.busy, p.lowered = busy, now
 	}
 	places = slices.Clone(places)
 	slices.SortFunc(places, func(a, b Place) int {
@@ -100,21 +106,14 @@
 	for i, place := range places {
 		orders[i].Place = place.Name
 	}
-	steady := int(math.Ceil(p.level))
+	spread(orders, p.steady(places), o.Max)
 	if o.ReclaimablePrice > 0 {
 		// What remains stands when the place with the most of them is reclaimed.
-		each := int(math.Ceil(p.level / float64(max(len(places)-1, 1))))
-		spread(orders, each*len(places), o.Max, func(x *Order) *int { return &x.Reclaimable })
-		ready, coming, present := 0, 0, 0
-		for i, place := range places {
-			ready += min(place.Reclaimable, orders[i].Reclaimable)
-			coming += place.Coming
-			present += place.Steady
+		each := int(math.Ceil(p.busy / reclaimableUse / float64(max(len(places)-1, 1))))
+		for i := range orders {
+			orders[i].Reclaimable = max(min(each, o.Max-orders[i].Steady), 0)
 		}
-		// Steady servers stay until those that replace them take work.
-		steady = max(steady-ready-coming, min(steady-ready, present), 0)
 	}
-	spread(orders, steady, o.Max, func(x *Order) *int { return &x.Steady })
 	for i := range orders {
 		if short := o.Min - orders[i].Steady - orders[i].Reclaimable; short > 0 {
 			orders[i].Steady += short
@@ -123,13 +122,33 @@
 	return orders
 }
 
-// spread adds n servers evenly, the first places first, within the bound of a place.
-func spread(orders []Order, n, most int, field func(*Order) *int) {
+// steady returns how many steady servers to have. Reclaims come one after the other
+// and leave less time than a start takes, so that the servers that remain after
+// one more reclaim have to bear the demand.
+func (p *Plan) steady(places []Place) int {
+	needed := int(math.Ceil(p.busy / steadyUse))
+	if p.Options.ReclaimablePrice <= 0 {
+		return needed
+	}
+	ready, coming, most, present := 0, 0, 0, 0
+	for _, place := range places {
+		ready += place.Reclaimable
+		coming += place.Coming
+		present += place.Steady
+		most = max(most, place.Reclaimable+place.Coming)
+	}
+	// Steady servers stay until those that replace them take work.
+	return max(needed-(ready+coming-most), min(needed-(ready-most), present), 0)
+}
+
+// spread adds n steady servers evenly, the first places first, within the bound of
+// a place.
+func spread(orders []Order, n, most int) {
 	for n > 0 {
 		added := false
 		for i := range orders {
-			if n > 0 && orders[i].Steady+orders[i].Reclaimable < most {
-				*field(&orders[i])++
+			if n > 0 && orders[i].Steady < most {
+				orders[i].Steady++
 				n--
 				added = true
 			}
