gateway, backend, fleet, quota, accounting, scaling, route, logs: test the packages of the gateway

The tests of the gateway run daemons on loopback with a store in memory and backend servers that break the protocol. They found a fault: while no view was published the store was read without a pause, and the control goroutine took in events for ever without publishing one. Reads now keep their distance from the first one on, and events are published in bounded groups. A quota bucket filled when the sums of a restarted peer began anew; sums now carry the start.

--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,115 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func entry(id string, revision, born int64, leaving bool) Registration {
+	return Registration{ID: id, Revision: revision, Server: &Server{ID: id, Incarnation: born, Address: id, Leaving: leaving}}
+}
+
+func accepting(s *Set) string {
+	ids := ""
+	for _, m := range s.Members() {
+		if m.Accepting() {
+			ids += m.ID
+		}
+	}
+	return ids
+}
+
+// TestLeavingStays guards against an older listing, a repeated registration or a
+// lapse that puts a leaving server back to work.
+func TestLeavingStays(t *testing.T) {
+	s := NewSet()
+	s.Apply(at(0), entry("a", 1, 7, false))
+	s.Apply(at(0), entry("b", 2, 7, false))
+	if c, ok := s.Apply(at(time.Second), entry("a", 5, 7, true)); !ok || c.Event != Leaving {
+		t.Fatalf("leaving was reported as %v, %v", c.Event, ok)
+	}
+	s.Apply(at(2*time.Second), entry("a", 4, 7, false)) // An older answer.
+	s.Apply(at(3*time.Second), entry("a", 6, 7, false)) // The same start again.
+	if got := accepting(s); got != "b" {
+		t.Errorf("accepting %q after an older listing", got)
+	}
+	s.Apply(at(4*time.Second), Registration{ID: "a", Revision: 8})
+	s.Apply(at(5*time.Second), entry("a", 9, 7, false))
+	if got := accepting(s); got != "b" {
+		t.Errorf("accepting %q after the registration ended and came back", got)
+	}
+	s.Apply(at(6*time.Second), entry("a", 10, 8, false))
+	if got := accepting(s); got != "ab" {
+		t.Errorf("accepting %q after a new start under the same id", got)
+	}
+}
+
+// TestLapse guards against dropping all servers when their registrations lapsed
+// during an outage of the store, and against keeping those that do not return.
+func TestLapse(t *testing.T) {
+	s := NewSet()
+	s.Replace(at(0), 10, []Registration{entry("a", 1, 7, false), entry("b", 2, 7, false)})
+	s.Outage(at(time.Second))
+	if changes := s.Replace(at(2*time.Second), 20, nil); len(changes) > 0 {
+		t.Fatalf("a lapse right after an outage gave %v", changes)
+	}
+	s.Apply(at(3*time.Second), entry("a", 21, 7, false))
+	if changes := s.Expire(at(3900 * time.Millisecond)); len(changes) > 0 {
+		t.Errorf("lapsed registrations ended early: %v", changes)
+	}
+	changes := s.Expire(at(4 * time.Second))
+	if len(changes) != 1 || changes[0].Event != Gone || changes[0].Member.ID != "b" {
+		t.Errorf("changes %v, want the end of b", changes)
+	}
+	if got := accepting(s); got != "a" {
+		t.Errorf("accepting %q", got)
+	}
+	// Without an outage the end counts at once.
+	if c, ok := s.Apply(at(time.Minute), Registration{ID: "a", Revision: 30}); !ok || c.Event != Gone {
+		t.Errorf("the end of a registration gave %v, %v", c.Event, ok)
+	}
+}
+
+// TestReplaceKeepsNewer guards against a listing, whose pages are not a snapshot,
+// that ends a server which registered while it was read.
+func TestReplaceKeepsNewer(t *testing.T) {
+	s := NewSet()
+	s.Apply(at(0), entry("new", 15, 7, false))
+	s.Replace(at(0), 10, []Registration{entry("a", 1, 7, false)})
+	if got := accepting(s); got != "anew" {
+		t.Errorf("accepting %q", got)
+	}
+}
+
+// TestUnreadable guards against an entry of another writer that stops the others
+// from being read.
+func TestUnreadable(t *testing.T) {
+	s := NewSet()
+	s.Replace(at(0), 10, []Registration{{ID: "bad", Revision: 3}, entry("a", 1, 7, false)})
+	if got := accepting(s); got != "a" {
+		t.Errorf("accepting %q", got)
+	}
+}
+
+// TestHash guards against daemons that know different servers and take them for the
+// same.
+func TestHash(t *testing.T) {
+	one, two := NewSet(), NewSet()
+	one.Replace(at(0), 10, []Registration{entry("a", 1, 7, false), entry("b", 2, 7, false)})
+	two.Apply(at(0), entry("b", 2, 7, false))
+	if one.Hash() == two.Hash() {
+		t.Error("different sets have equal hashes")
+	}
+	two.Apply(at(0), entry("a", 1, 7, false))
+	if one.Hash() != two.Hash() {
+		t.Error("equal sets have different hashes")
+	}
+	two.Apply(at(0), entry("a", 5, 7, true))
+	if one.Hash() == two.Hash() {
+		t.Error("a leaving server does not change the hash")
+	}
+}
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -103,13 +103,11 @@
 		case <-ticker.C:
 			c.expire(time.Now())
 		}
-		for more := true; more; {
-			select {
-			case event := <-g.events:
-				event(c)
-			default:
-				more = false
-			}
+		// Events that came together are published together. Their number is bounded,
+		// so that a steady stream of them does not keep the view from traffic.
+		for range len(g.events) {
+			event := <-g.events
+			event(c)
 		}
 		if c.changed {
 			c.publish(time.Now())
--- /dev/null
+++ b/internal/gateway/harness_test.go
@@ -0,0 +1,428 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"go.uber.org/goleak"
+
+	"apricotbridge/internal/backend"
+	"apricotbridge/internal/fleet"
+	"apricotbridge/internal/keyvalue"
+	"apricotbridge/internal/quota"
+	"apricotbridge/internal/route"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// store is a key-value service in memory.
+type store struct {
+	mu       sync.Mutex
+	entries  map[string]keyvalue.Entry
+	revision int64
+	leases   int64
+	// away makes every call fail.
+	away bool
+	// deaf makes waiting calls return nothing.
+	deaf    bool
+	reads   int
+	changed chan struct{}
+}
+
+func newStore() *store {
+	return &store{entries: map[string]keyvalue.Entry{}, changed: make(chan struct{})}
+}
+
+func (s *store) set(key string, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.write(key, data)
+}
+
+func (s *store) write(key string, value []byte) keyvalue.Entry {
+	s.revision++
+	e := keyvalue.Entry{Key: key, Value: value, Revision: s.revision}
+	s.entries[key] = e
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return e
+}
+
+func (s *store) remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	delete(s.entries, key)
+}
+
+func (s *store) set2(away, deaf bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away, s.deaf = away, deaf
+}
+
+func (s *store) Get(_ context.Context, key string) (keyvalue.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	if s.away {
+		return keyvalue.Entry{}, keyvalue.ErrUnavailable
+	}
+	e, ok := s.entries[key]
+	if !ok {
+		return e, keyvalue.ErrNotFound
+	}
+	return e, nil
+}
+
+func (s *store) List(_ context.Context, prefix string) ([]keyvalue.Entry, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	if s.away {
+		return nil, 0, keyvalue.ErrUnavailable
+	}
+	var list []keyvalue.Entry
+	for key, e := range s.entries {
+		if strings.HasPrefix(key, prefix) {
+			list = append(list, e)
+		}
+	}
+	return list, s.revision, nil
+}
+
+func (s *store) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]keyvalue.Entry, int64, error) {
+	deadline := time.Now().Add(wait)
+	for {
+		s.mu.Lock()
+		if s.away {
+			s.mu.Unlock()
+			return nil, 0, keyvalue.ErrUnavailable
+		}
+		var list []keyvalue.Entry
+		for key, e := range s.entries {
+			if strings.HasPrefix(key, prefix) && e.Revision > after && !s.deaf {
+				list = append(list, e)
+			}
+		}
+		revision, changed := s.revision, s.changed
+		s.mu.Unlock()
+		left := time.Until(deadline)
+		if len(list) > 0 || left <= 0 {
+			return list, revision, nil
+		}
+		select {
+		case <-changed:
+		case <-time.After(left):
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+func (s *store) CompareAndSwap(_ context.Context, key string, value []byte, revision int64, _ string) (keyvalue.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.away {
+		return keyvalue.Entry{}, keyvalue.ErrUnavailable
+	}
+	if e := s.entries[key]; e.Revision != revision {
+		return keyvalue.Entry{}, &keyvalue.ConflictError{Current: e}
+	}
+	return s.write(key, value), nil
+}
+
+func (s *store) Delete(_ context.Context, key string, _ int64) error {
+	s.remove(key)
+	return nil
+}
+
+func (s *store) Lease(context.Context, time.Duration) (string, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leases++
+	return strconv.FormatInt(s.leases, 10), nil
+}
+
+func (s *store) Renew(context.Context, string) error { return nil }
+
+// decoder reads documents in JSON of the gateway's own types.
+type decoder struct{}
+
+func (decoder) Configuration(document []byte) (*Configuration, error) {
+	var c Configuration
+	if err := json.Unmarshal(document, &c); err != nil {
+		return nil, err
+	}
+	c.Document = document
+	return &c, nil
+}
+
+func (decoder) Registration(e keyvalue.Entry) fleet.Registration {
+	r := fleet.Registration{ID: strings.TrimPrefix(e.Key, "servers/"), Revision: e.Revision}
+	var s fleet.Server
+	if !e.Deleted && json.Unmarshal(e.Value, &s) == nil && s.Address != "" {
+		r.Server = &s
+	}
+	return r
+}
+
+// protocol uses short header names.
+type protocol struct{}
+
+func (protocol) Decode(h http.Header) (Call, error) {
+	c := Call{ID: h.Get("X-Id"), Key: h.Get("X-Key"), LastEvent: h.Get("Last-Event-Id")}
+	if c.ID == "" {
+		return c, fmt.Errorf("header X-Id is missing")
+	}
+	if ms, err := strconv.Atoi(h.Get("X-Deadline")); err == nil {
+		c.Deadline = time.Duration(ms) * time.Millisecond
+	}
+	if n, err := strconv.Atoi(h.Get("X-Tokens")); err == nil {
+		c.PromptTokens = n
+	}
+	return c, nil
+}
+
+func (protocol) Encode(h http.Header, s Sending) http.Header {
+	h.Del("X-Key")
+	h.Set("X-Deadline", strconv.FormatInt(s.Left.Milliseconds(), 10))
+	h.Set("X-Server", s.Server)
+	h.Set("X-Organisation", s.Organisation)
+	if s.LastEvent != "" {
+		h.Set("Last-Event-Id", s.LastEvent)
+	}
+	if s.Copy != "" {
+		h.Set("X-Copy", s.Copy)
+	}
+	return h
+}
+
+func (protocol) Response(h http.Header) http.Header { return h }
+
+var testNames = backend.Names{Attempt: "X-Id", Signature: "X-Signature", NotRun: "X-Not-Run"}
+
+// world is a store with a configuration and servers.
+type world struct {
+	t     *testing.T
+	store *store
+	conf  Configuration
+}
+
+func newWorld(t *testing.T) *world {
+	w := &world{t: t, store: newStore()}
+	w.conf = Configuration{
+		Version: 1,
+		Routes: []route.Route{
+			{Name: "safe", Host: "h.example", Prefix: "/safe/", Repeat: route.Always, Timeout: 3 * time.Second, Target: 300 * time.Millisecond, Attempts: 2, Shares: []route.Share{{Service: "plain", Weight: 1}}},
+			{Name: "unsafe", Host: "h.example", Prefix: "/unsafe/", Timeout: 3 * time.Second, Target: 300 * time.Millisecond, Attempts: 1, Shares: []route.Share{{Service: "plain", Weight: 1}}},
+			{Name: "stream", Host: "h.example", Prefix: "/stream/", Repeat: route.Resume, Stream: true, Timeout: 5 * time.Second, Target: time.Second, Gap: 300 * time.Millisecond, Attempts: 2, Shares: []route.Share{{Service: "model", Weight: 1}}},
+			{Name: "once", Host: "h.example", Prefix: "/once/", Stream: true, Timeout: 5 * time.Second, Target: time.Second, Gap: 300 * time.Millisecond, Attempts: 1, Shares: []route.Share{{Service: "model", Weight: 1}}},
+			{Name: "short", Host: "h.example", Prefix: "/short/", Stream: true, Timeout: 400 * time.Millisecond, Target: 300 * time.Millisecond, Gap: 300 * time.Millisecond, Attempts: 1, Shares: []route.Share{{Service: "model", Weight: 1}}},
+		},
+		Services: []Service{{Name: "plain"}, {Name: "model", Engine: &Engine{Slots: 8, CacheTokens: 100_000}}},
+		Organisations: []Organisation{
+			{Name: "one", Keys: []string{"key-one"}},
+			{Name: "limited", Keys: []string{"key-limited"}, CountTokens: true, DefaultTokens: 10, Quota: quota.Limit{PerSecond: 1, Burst: 25}},
+		},
+	}
+	w.configure()
+	return w
+}
+
+func (w *world) configure() { w.store.set("op/config", w.conf) }
+
+// backendServer is a backend server whose answers a test sets.
+type backendServer struct {
+	id string
+	*httptest.Server
+	mu   sync.Mutex
+	seen []*http.Request
+}
+
+func (b *backendServer) requests() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.seen)
+}
+
+// server adds a backend server of a service.
+func (w *world) server(id, service string, answer http.HandlerFunc) *backendServer {
+	b := &backendServer{id: id}
+	b.Server = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		b.mu.Lock()
+		b.seen = append(b.seen, r.Clone(context.Background()))
+		b.mu.Unlock()
+		rw.Header().Set("X-Id", r.Header.Get("X-Id"))
+		answer(rw, r)
+	}))
+	w.t.Cleanup(b.Close)
+	w.register(b, service, false)
+	return b
+}
+
+func (w *world) register(b *backendServer, service string, leaving bool) {
+	w.store.set("servers/"+b.id, fleet.Server{
+		ID: b.id, Incarnation: 1, Address: strings.TrimPrefix(b.URL, "http://"), Service: service, Place: "a", Slots: 8, Leaving: leaving,
+	})
+}
+
+// signed answers with a signature.
+func signed(body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Signature", "s")
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+// node is a running gateway.
+type node struct {
+	*Gateway
+	ended  chan error
+	cancel context.CancelFunc
+}
+
+// gateway starts a gateway and waits until it is ready.
+func (w *world) gateway(id string) *node {
+	w.t.Helper()
+	n := w.start(id)
+	await(w.t, "gateway "+id+" is ready", n.Ready)
+	return n
+}
+
+func (w *world) start(id string) *node {
+	w.t.Helper()
+	callers, peers := listen(w.t), listen(w.t)
+	g := &Gateway{
+		Daemon: id, Place: "a", Region: "r", Regions: map[string]string{"a": "r"},
+		CallerAddress: callers.Addr().String(), PeerAddress: peers.Addr().String(),
+		CallerListener: callers, PeerListener: peers, Store: w.store, Decoder: decoder{}, Protocol: protocol{},
+		Keys: Keys{Configuration: "op/config", Servers: "servers/"},
+		Bounds: Bounds{
+			Grace: 3 * time.Second, RetryShare: 0.2, RetryBurst: 50, RetryWindow: 10 * time.Second, Lease: time.Second,
+			UsageWindow: time.Second, UsageDue: 10 * time.Second,
+		},
+		Backends: &backend.Pool{Names: testNames}, Log: logr.Discard(),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &node{Gateway: g, ended: make(chan error, 1), cancel: cancel}
+	go func() { n.ended <- g.Run(ctx) }()
+	w.t.Cleanup(func() {
+		cancel()
+		if err := <-n.ended; err != nil {
+			w.t.Errorf("gateway %s: %v", id, err)
+		}
+		n.ended <- nil
+	})
+	return n
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// await waits for a condition that other goroutines bring about.
+func await(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for range 1000 {
+		if done() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("%s: not within 10 s", what)
+}
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	// closes says that the daemon closes the connection after the answer.
+	closes bool
+	err    error
+}
+
+var requestIDs struct {
+	sync.Mutex
+	n int
+}
+
+// ask sends a request with a new id and reads the whole answer.
+func (n *node) ask(ctx context.Context, method, path string, header ...string) reply {
+	requestIDs.Lock()
+	requestIDs.n++
+	id := fmt.Sprintf("%016x", requestIDs.n)
+	requestIDs.Unlock()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+n.CallerAddress+path, strings.NewReader(""))
+	if err != nil {
+		return reply{err: err}
+	}
+	req.Host = "h.example"
+	req.Header.Set("X-Id", id)
+	req.Header.Set("X-Key", "key-one")
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	res, err := client.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	return reply{status: res.StatusCode, header: res.Header, body: string(body), closes: res.Close, err: err}
+}
+
+// event is one event of a stream.
+func event(id int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", id, id) }
+
+func events(from, to int) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		b.WriteString(event(i))
+	}
+	return b.String()
+}
+
+// streamFrom writes the events from the one after Last-Event-Id up to last.
+func streamFrom(w http.ResponseWriter, r *http.Request, last int) {
+	w.Header().Set("X-Signature", "s")
+	w.Header().Set("Content-Type", "text/event-stream")
+	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // Empty means from the start.
+	for i := after + 1; i <= last; i++ {
+		_, _ = io.WriteString(w, event(i))
+		_ = http.NewResponseController(w).Flush() // The test reads what arrives.
+	}
+}
+
+// cut closes the connection of a handler in the middle of its answer.
+func cut(w http.ResponseWriter) {
+	c, b, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	_ = b.Flush() // What was written so far.
+	_ = c.Close() // The point of it.
+}
--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -96,14 +96,15 @@
 // pollDue returns when this daemon reads the store unless it is told of it before.
 func (g *Gateway) pollDue() time.Time {
 	fresh := g.fresh.Load()
-	v := g.view.Load()
-	if fresh == nil || v == nil {
+	if fresh == nil {
 		return time.Time{}
 	}
 	position := 0
-	for _, d := range v.Daemons {
-		if d.Alive && d.ID < g.Daemon {
-			position++
+	if v := g.view.Load(); v != nil {
+		for _, d := range v.Daemons {
+			if d.Alive && d.ID < g.Daemon {
+				position++
+			}
 		}
 	}
 	return fresh.Add(pollEvery + min(time.Duration(position)*pollStagger, pollLatest))
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -106,7 +106,7 @@
 		used[u.Organisation] = u.Amount
 	}
 	g.quotaMu.Lock()
-	g.quotas.Merge(now, from.Daemon, used)
+	g.quotas.Merge(now, from.Daemon, from.Start, used)
 	g.quotaMu.Unlock()
 	g.countMu.Lock()
 	defer g.countMu.Unlock()
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -28,6 +28,8 @@
 
 // peer is what one daemon reported.
 type peer struct {
+	// start tells the starts of the daemon apart, at which its sums begin anew.
+	start int64
 	heard time.Time
 	// charged is until when the assumed use of a silent peer was taken.
 	charged time.Time
@@ -110,16 +112,19 @@
 }
 
 // Merge takes what a peer has admitted since its start.
-func (b *Book) Merge(now time.Time, daemon string, used map[string]float64) {
+func (b *Book) Merge(now time.Time, daemon string, start int64, used map[string]float64) {
 	p := b.peers[daemon]
 	if p == nil {
-		p = &peer{heard: now, used: map[string]float64{}}
+		p = &peer{start: start, heard: now, used: map[string]float64{}}
 		b.peers[daemon] = p
 		for name, v := range used {
 			p.used[name] = v
 		}
 		return
 	}
+	if p.start != start {
+		p.start, p.used = start, map[string]float64{}
+	}
 	silent := p.charged.After(p.heard)
 	p.heard = now
 	for name, v := range used {
