--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"testing"
 	"time"
@@ -293,10 +295,17 @@
 		<-r.Context().Done()
 	})
 	n := w.gateway("g1")
+	// The context of requests ends before the listener is closed.
+	ctx, cancel := context.WithCancel(t.Context())
+	server := httptest.NewUnstartedServer(http.HandlerFunc(n.serve))
+	server.Config.BaseContext = func(net.Listener) context.Context { return ctx }
+	server.Start()
+	defer server.Close()
+	n.CallerAddress = server.Listener.Addr().String()
 	ended := make(chan reply, 1)
 	go func() { ended <- n.ask(t.Context(), http.MethodPost, "/once/") }()
 	<-begun
-	n.cancel()
+	cancel()
 	if got := <-ended; got.err == nil {
 		t.Errorf("a stream that was cut looks complete: %+v", got)
 	}
