--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -58,10 +58,11 @@
 	// Signed says that the response carries the server's signature.
 	Signed bool
 
-	body  io.ReadCloser
-	conn  *conn
-	pool  *Pool
-	wrote chan error
+	body io.ReadCloser
+	conn *conn
+	pool *Pool
+	// wrote reports whether the whole request was written, where that is done apart.
+	wrote chan bool
 	stop  func() bool
 	ended bool
 	keep  bool
@@ -90,13 +91,13 @@
 	r.stop = context.AfterFunc(ctx, func() { _ = c.Close() }) // Wakes the reader.
 	head := q.head()
 	if len(q.Body) > writeApart {
-		r.wrote = make(chan error, 1)
+		r.wrote = make(chan bool, 1)
 		go func() {
 			_, err := c.Write(head)
 			if err == nil {
 				_, err = c.Write(q.Body)
 			}
-			r.wrote <- err
+			r.wrote <- err == nil
 		}()
 	} else if n, err := c.Write(append(head, q.Body...)); err != nil {
 		r.abandon()
@@ -135,7 +136,7 @@
 // readHead reads response heads until one answers the request.
 func (r *Response) readHead(q *Request, names Names) error {
 	for range maxForeign {
-		head, err := http.ReadResponse(r.conn.reader.Reader, &http.Request{Method: q.Method})
+		head, err := http.ReadResponse(r.conn.reader.Reader, &http.Request{Method: q.Method}) //nolint:bodyclose // It ends with the connection.
 		if err != nil {
 			return err
 		}
@@ -181,9 +182,9 @@
 // ErrBroken for one that broke off.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
-	switch err {
-	case nil:
-	case io.EOF:
+	switch {
+	case err == nil:
+	case errors.Is(err, io.EOF):
 		r.ended = true
 	default:
 		err = errors.Annotatef(ErrBroken, "body: %v", err)
@@ -218,8 +219,8 @@
 	written := true
 	if r.wrote != nil {
 		select {
-		case err := <-r.wrote:
-			written, r.wrote = err == nil, nil
+		case written = <-r.wrote:
+			r.wrote = nil
 		default:
 			// Whatever is sent next would be read as the rest of the body.
 			written = false
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -242,14 +242,6 @@
 	c.g.Log.Info("server suspected", "Server", server, "Failures", s.failures, "Until", s.until)
 }
 
-// cleared takes back a suspicion after a success.
-func (c *control) cleared(server string) {
-	if c.suspects[server] != nil {
-		delete(c.suspects, server)
-		c.changed = true
-	}
-}
-
 // daemons takes the daemons that are registered in the store.
 func (c *control) daemons(now time.Time, list map[string]Daemon) {
 	c.registered = list
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -37,8 +37,6 @@
 	events int
 	// unnumbered says that an event had no id, so that the stream can't be resumed.
 	unnumbered bool
-	// ended says that a marker of the end was passed on.
-	ended bool
 }
 
 // resumable reports whether a new run can go on after the last event.
@@ -74,10 +72,10 @@
 			pending = append(pending[:0], pending[whole+2:]...)
 		}
 		switch {
-		case err == io.EOF && len(pending) == 0 && !res.Unframed:
+		case errors.Is(err, io.EOF) && len(pending) == 0 && !res.Unframed:
 			s.complete(res, server)
 			return result{done: true}
-		case err == io.EOF:
+		case errors.Is(err, io.EOF):
 			return s.broken(ctx, server, errors.New("stream ended within an event"))
 		case err != nil:
 			return s.broken(ctx, server, err)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -60,7 +60,9 @@
 	}
 	// A drain has waited for the requests. Idle connections are closed.
 	err := s.Close()
-	<-served
+	if e := <-served; err == nil && !errors.Is(e, http.ErrServerClosed) {
+		err = e
+	}
 	return errors.Annotate(err, "close callers' listener")
 }
 
--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -48,8 +48,8 @@
 	}
 }
 
-func retryPause(ctx context.Context) bool {
-	return pause(ctx, storeRetry+rand.N(storeRetry)) //nolint:gosec // Not for secrets.
+func retryPause(ctx context.Context) {
+	pause(ctx, storeRetry+rand.N(storeRetry)) //nolint:gosec // Not for secrets.
 }
 
 // dependency logs when the store is lost and regained.
