quota: charge a starting daemon for no past use, and none for ended processes

Peers whose processes had ended were also charged an equal part of the limit.

Ruled out: the limit itself (small organisations were refused at a tenth of it); a slow refill (the level was far below zero).

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -253,10 +253,7 @@
 			continue
 		}
 		ids = append(ids, id)
-		// One of the two daemons of a link opens it.
-		if c.g.Daemon < id {
-			targets = append(targets, peer.Target{ID: id, Address: list[id].PeerAddress})
-		}
+		targets = append(targets, peer.Target{ID: id, Address: list[id].PeerAddress})
 	}
 	c.g.hub.Keep(targets)
 	c.g.quotaMu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -169,6 +170,14 @@
 		Listener: g.PeerListener, Handle: g.hear, Log: g.Log.WithName("peer"), Metrics: g.Metrics,
 		MaxBackoff: peerBackoff,
 		Down:       func(p message.Hello) { g.post(func(c *control) { c.peerDown(p) }) },
+		Unreachable: func(t peer.Target, err error) {
+			// A machine that refuses connections is there; the process is not.
+			if errors.Is(err, syscall.ECONNREFUSED) {
+				g.quotaMu.Lock()
+				g.quotas.Gone(t.ID)
+				g.quotaMu.Unlock()
+			}
+		},
 	}
 }
 
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -3,10 +3,14 @@
 // and what its peers report. It has no sockets, goroutines or clock.
 //
 // A peer that is known and silent is assumed to use its equal part of the limit,
-// so that daemons that do not hear each other do not exceed it together.
+// so that daemons that do not hear each other do not exceed it together. One whose
+// process has ended uses nothing.
 package quota
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // silentAfter is the age of a peer's last report from which it counts as silent.
 // Reports come several times a second.
@@ -34,6 +38,8 @@
 	// charged is until when the assumed use of a silent peer was taken.
 	charged time.Time
 	used    map[string]float64
+	// gone says that the process of the daemon has ended.
+	gone bool
 }
 
 // Book holds the buckets of all organisations. It has no lock.
@@ -47,9 +53,12 @@
 	return &Book{buckets: map[string]*bucket{}, peers: map[string]*peer{}}
 }
 
+// startPart of the burst is what a new bucket holds. The daemons may all have
+// started at the same moment, and do not know yet how many they are.
+const startPart = 0.15
+
 // Configure puts new limits in force. An organisation without one, or with a rate
-// of 0, is not limited. A bucket that is new starts with its equal part of the
-// burst, because the other daemons start with the rest.
+// of 0, is not limited.
 func (b *Book) Configure(now time.Time, limits map[string]Limit) {
 	for name := range b.buckets {
 		if _, ok := limits[name]; !ok {
@@ -59,7 +68,7 @@
 	for name, l := range limits {
 		k := b.buckets[name]
 		if k == nil {
-			k = &bucket{level: l.Burst / float64(len(b.peers)+1), at: now}
+			k = &bucket{level: l.Burst * startPart, at: now}
 			b.buckets[name] = k
 		}
 		b.refill(now, k)
@@ -115,18 +124,19 @@
 func (b *Book) Merge(now time.Time, daemon string, start int64, used map[string]float64) {
 	p := b.peers[daemon]
 	if p == nil {
-		p = &peer{start: start, heard: now, used: map[string]float64{}}
+		p = &peer{}
 		b.peers[daemon] = p
-		for name, v := range used {
-			p.used[name] = v
-		}
+	}
+	if p.start == 0 {
+		// What it admitted before it was first heard is not known to be recent.
+		p.start, p.heard, p.used, p.gone = start, now, maps.Clone(used), false
 		return
 	}
 	if p.start != start {
 		p.start, p.used = start, map[string]float64{}
 	}
 	silent := p.charged.After(p.heard)
-	p.heard = now
+	p.heard, p.gone = now, false
 	for name, v := range used {
 		more := v - p.used[name]
 		p.used[name] = v
@@ -139,13 +149,21 @@
 	p.charged = time.Time{}
 }
 
+// Gone notes that the process of a daemon has ended. It counts again when it is
+// heard.
+func (b *Book) Gone(daemon string) {
+	if p := b.peers[daemon]; p != nil {
+		p.gone = true
+	}
+}
+
 // Peers replaces the daemons that are known. New ones count as heard now.
 func (b *Book) Peers(now time.Time, daemons []string) {
 	known := make(map[string]*peer, len(daemons))
 	for _, name := range daemons {
 		p := b.peers[name]
 		if p == nil {
-			p = &peer{heard: now, used: map[string]float64{}}
+			p = &peer{heard: now}
 		}
 		known[name] = p
 	}
@@ -155,6 +173,9 @@
 // chargeSilent takes the equal part of each peer that has not reported.
 func (b *Book) chargeSilent(now time.Time) {
 	for _, p := range b.peers {
+		if p.gone {
+			continue
+		}
 		from := p.heard.Add(silentAfter)
 		if p.charged.After(from) {
 			from = p.charged
