gateway: link daemons by place beyond 16 of them

Daemons of a place now tell each other everything, two delegates of each place pass on what matters elsewhere, and servers of the own place go first. Orders of servers wait until the standing fleet has registered, and standing servers stay until those that replace them take work.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -115,6 +115,13 @@
 	d.retries.Share, d.retries.Burst = share, burst
 }
 
+// PreferPlace says whether servers in a call's own place go before all others.
+func (d *Dispatcher) PreferPlace(prefer bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.Router.PreferPlace(prefer)
+}
+
 // SetTable replaces the servers.
 func (d *Dispatcher) SetTable(now time.Time, t *routing.Table) {
 	d.mu.Lock()
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -11,7 +11,6 @@
 	"apricotbridge/internal/fleet"
 	"apricotbridge/internal/keyvalue"
 	"apricotbridge/internal/message"
-	"apricotbridge/internal/peer"
 	"apricotbridge/internal/quarantine"
 	"apricotbridge/internal/routing"
 )
@@ -47,9 +46,9 @@
 	index   *index
 	Members map[string]fleet.Member
 	Daemons []Daemon
-	// Peers is the number of other daemons that are alive.
-	Peers int
-	table *routing.Table
+	// ByPlace and Delegate are those of the topology of links.
+	ByPlace, Delegate bool
+	table             *routing.Table
 }
 
 // Configuration returns the configuration in force, nil when none is known.
@@ -69,6 +68,7 @@
 	// registered holds the daemons that are in the store.
 	registered map[string]Daemon
 	peers      map[string]*peerState
+	topology   topology
 	// listed says that the servers were listed once.
 	listed  bool
 	changed bool
@@ -192,7 +192,10 @@
 		c.g.Log.Error(err, "listing not sent")
 		return
 	}
-	for id := range c.peers {
+	for id, p := range c.peers {
+		if c.topology.ByPlace && p.hello.Place != c.g.Place {
+			continue // A daemon of that place reads the store for it.
+		}
 		if err := c.g.hub.Send(id, message.KindListing, data); err != nil {
 			c.g.Log.V(1).Info("listing not sent", "Peer", id, "Error", err.Error())
 		}
@@ -246,19 +249,22 @@
 func (c *control) daemons(now time.Time, list map[string]Daemon) {
 	c.registered = list
 	c.changed = true
-	var targets []peer.Target
+	c.topology = planTopology(Daemon{ID: c.g.Daemon, Place: c.g.Place}, slices.Collect(maps.Values(list)))
+	c.g.hub.Keep(c.topology.Targets)
 	var ids []string
-	for _, id := range slices.Sorted(maps.Keys(list)) {
-		if id == c.g.Daemon {
-			continue
+	for id := range list {
+		if id != c.g.Daemon {
+			ids = append(ids, id)
 		}
-		ids = append(ids, id)
-		targets = append(targets, peer.Target{ID: id, Address: list[id].PeerAddress})
 	}
-	c.g.hub.Keep(targets)
 	c.g.quotaMu.Lock()
+	c.g.quotas.Silence = 0
+	if c.topology.ByPlace {
+		c.g.quotas.Silence = placesSilence
+	}
 	c.g.quotas.Peers(now, ids)
 	c.g.quotaMu.Unlock()
+	c.g.dispatcher.PreferPlace(c.topology.ByPlace)
 	c.limitRetries()
 }
 
@@ -339,7 +345,7 @@
 	}
 	v.table = routing.NewTable(servers, c.links())
 	v.Daemons = c.known()
-	v.Peers = len(c.peers)
+	v.ByPlace, v.Delegate = c.topology.ByPlace, c.topology.Delegate
 	c.g.view.Store(v)
 	c.g.dispatcher.SetTable(now, v.table)
 }
@@ -425,13 +431,15 @@
 	if v == nil {
 		return nil
 	}
-	var near, far, silent []string
+	var here, near, far, silent []string
 	for _, d := range v.Daemons {
 		switch {
 		case !d.Alive:
 			if d.ID != g.Daemon {
 				silent = append(silent, d.CallerAddress)
 			}
+		case v.ByPlace && d.Place == place:
+			here = append(here, d.CallerAddress)
 		case d.Region == region || g.Regions[place] == d.Region:
 			near = append(near, d.CallerAddress)
 		default:
@@ -439,6 +447,8 @@
 		}
 	}
 	switch {
+	case len(here) > 0:
+		return here
 	case len(near) > 0:
 		return near
 	case len(far) > 0:
--- a/internal/gateway/duty.go
+++ b/internal/gateway/duty.go
@@ -34,6 +34,8 @@
 	reportAfter = 2 * time.Second
 	// orderEvery is how often the servers to have are worked out.
 	orderEvery = 500 * time.Millisecond
+	// orderWait is the time after the start in which servers that stand register.
+	orderWait = 3500 * time.Millisecond
 	// orderRetry is the wait after an order that failed.
 	orderRetry = time.Second
 	// orderAgain is how long beyond the boot time an order is given to bring its
@@ -137,6 +139,9 @@
 			s.perform(ctx, s.duty.Step(bootTime(), lease.Resign{}))
 		}
 		g.holding.Store(s.duty.Holds(bootTime()))
+		if v := g.view.Load(); !g.holding.Load() && v != nil && !v.Delegate {
+			continue // Only delegates hear each other.
+		}
 		if t := g.othersDuty.Load(); !g.holding.Load() && t != nil && time.Since(*t) < dutySilence {
 			s.read = false
 			continue // The holder is well; the store need not be asked.
@@ -307,7 +312,7 @@
 // order gives the orders of servers that differ from those given before.
 func (s *dutyState) order(ctx context.Context, now time.Time) {
 	g := s.g
-	if g.Orderer == nil || now.Sub(s.planned) < orderEvery {
+	if g.Orderer == nil || now.Sub(s.planned) < orderEvery || now.UnixNano()-g.start < int64(orderWait) {
 		return
 	}
 	s.planned = now
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -125,6 +125,10 @@
 	counts  *accounting.Book
 	clock   *accounting.Clock
 
+	// rows is what the daemons told of themselves.
+	rowsMu sync.Mutex
+	rows   map[string]row
+
 	sentMu sync.Mutex
 	sent   []message.SentPrompt
 
@@ -157,6 +161,7 @@
 	g.quotas = quota.NewBook()
 	g.counts, g.clock = accounting.NewBook(), accounting.NewClock()
 	g.demand = newDemand()
+	g.rows = map[string]row{}
 	g.drained = make(chan struct{})
 	if g.Metrics == nil {
 		g.Metrics = metrics.NewRegistry()
@@ -204,6 +209,7 @@
 		{"registration", g.keepRegistration},
 		{"daemons", g.watchDaemons},
 		{"status", g.sendStatus},
+		{"rows", g.passRows},
 		{"duty", g.runDuty},
 		{"callers", g.serveCallers},
 		{"ticks", g.tick},
--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -31,6 +31,8 @@
 	// registrationLease is the lease of this daemon's entry. It outlives a restart
 	// of the store's connection.
 	registrationLease = 5 * time.Second
+	// joinPause is the wait after daemons joined or left, in which more may.
+	joinPause = time.Second
 	// daemonPrefix is where daemons register.
 	daemonPrefix = "daemons/"
 )
@@ -238,6 +240,10 @@
 			list[id] = d
 		}
 		g.post(func(c *control) { c.daemons(time.Now(), list) })
+		if len(entries) > 0 {
+			// All daemons may register at the same time.
+			pause(ctx, joinPause)
+		}
 	}
 	return nil
 }
@@ -276,7 +282,8 @@
 // broadcast sends the status of this daemon to all peers.
 func (g *Gateway) broadcast() {
 	peers := g.hub.Peers()
-	s := g.status(time.Now())
+	now := time.Now()
+	s, far := g.status(now, true), g.status(now, false)
 	if len(peers) == 0 {
 		return
 	}
@@ -285,8 +292,18 @@
 		g.Log.Error(err, "status not sent")
 		return
 	}
+	farData, err := message.Encode(message.KindStatus, far)
+	if err != nil {
+		g.Log.Error(err, "status not sent")
+		return
+	}
+	v := g.view.Load()
 	for _, p := range peers {
-		if err := g.hub.Send(p.Daemon, message.KindStatus, data); err != nil {
+		sent := data
+		if v != nil && v.ByPlace && p.Place != g.Place {
+			sent = farData
+		}
+		if err := g.hub.Send(p.Daemon, message.KindStatus, sent); err != nil {
 			g.Log.V(1).Info("status not sent", "Peer", p.Daemon, "Error", err.Error())
 		}
 	}
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -17,18 +17,22 @@
 const usageWindows = 2
 
 // status returns what this daemon tells its peers.
-func (g *Gateway) status(now time.Time) message.Status {
+// A status for other places leaves out what only matters to those that share the
+// same servers.
+func (g *Gateway) status(now time.Time, whole bool) message.Status {
 	s := message.Status{Clock: time.Now().UnixMilli(), Draining: g.draining.Load(), Duty: g.holding.Load()}
 	if c := g.view.Load().Configuration(); c != nil {
 		s.Revision = c.Version
 	}
-	for _, l := range g.dispatcher.Loads() {
-		s.Loads = append(s.Loads, message.ServerLoad{Server: l.Server, Running: l.Running, Pending: l.Pending})
-	}
 	s.Demands = g.demand.own(now)
-	g.sentMu.Lock()
-	s.Sent, g.sent = g.sent, nil
-	g.sentMu.Unlock()
+	if whole {
+		for _, l := range g.dispatcher.Loads() {
+			s.Loads = append(s.Loads, message.ServerLoad{Server: l.Server, Running: l.Running, Pending: l.Pending})
+		}
+		g.sentMu.Lock()
+		s.Sent, g.sent = g.sent, nil
+		g.sentMu.Unlock()
+	}
 	g.quotaMu.Lock()
 	for name, amount := range g.quotas.Used() {
 		s.Used = append(s.Used, message.QuotaUse{Organisation: name, Amount: amount})
@@ -61,6 +65,13 @@
 		}
 		g.merge(now, from, s)
 		g.post(func(c *control) { c.heard(now, from, s) })
+	case message.KindRows:
+		m, err := message.Decode[message.Rows](e)
+		if err != nil {
+			g.Log.Info("rows not readable", "Peer", from.Daemon, "Error", err.Error())
+			return
+		}
+		g.hearRows(now, m)
 	case message.KindListing:
 		m, err := message.Decode[message.Listing](e)
 		if err != nil {
@@ -100,22 +111,13 @@
 		g.dispatcher.PeerSent(p.Server, parts, p.Expected)
 	}
 	g.dispatcher.PeerLoads(now, from.Daemon, loads)
-	g.demand.heard(now, from.Daemon, s.Demands)
-	used := make(map[string]float64, len(s.Used))
-	for _, u := range s.Used {
-		used[u.Organisation] = u.Amount
+	r := rowFrom(from, s)
+	if g.noteRow(row{DaemonRow: r, at: now}) {
+		g.mergeRow(now, r)
 	}
-	g.quotaMu.Lock()
-	g.quotas.Merge(now, from.Daemon, from.Start, used)
-	g.quotaMu.Unlock()
 	g.countMu.Lock()
-	defer g.countMu.Unlock()
 	g.clock.Heard(now, from.Daemon, time.Now(), time.UnixMilli(s.Clock))
-	for _, w := range s.Windows {
-		g.counts.Merge(accounting.Count{
-			Daemon: w.Daemon, Start: w.Start, Window: accounting.Window(w.Window), Organisation: w.Organisation, Requests: w.Requests,
-		})
-	}
+	g.countMu.Unlock()
 }
 
 // noteSent records a prompt for the next status.
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -44,6 +44,30 @@
 	Start int64 `json:"Start"`
 }
 
+// DaemonRow is the part of a daemon's Status that matters in other places.
+type DaemonRow struct {
+	// Milliseconds since the daemon told this.
+	Age int64 `json:"Age"`
+
+	// Id of the daemon.
+	Daemon string `json:"Daemon"`
+
+	// What callers ask of the services at the daemon.
+	Demands []ServiceDemand `json:"Demands,omitempty,omitzero"`
+
+	// Place of the daemon.
+	Place string `json:"Place"`
+
+	// Start number of the daemon.
+	Start int64 `json:"Start"`
+
+	// What the daemon has admitted of each quota.
+	Used []QuotaUse `json:"Used,omitempty,omitzero"`
+
+	// Requests that began to run in the latest windows.
+	Windows []WindowCount `json:"Windows,omitempty,omitzero"`
+}
+
 // Digest summarises the shared state of the sender, so that a peer sends what is
 // missing.
 type Digest struct {
@@ -238,6 +262,7 @@
 const KindListing Kind = "Listing"
 const KindMembers Kind = "Members"
 const KindQuarantine Kind = "Quarantine"
+const KindRows Kind = "Rows"
 const KindStatus Kind = "Status"
 const KindUsage Kind = "Usage"
 
@@ -305,6 +330,13 @@
 	Organisation string `json:"Organisation"`
 }
 
+// Rows carries what the daemons of one place told of themselves to the daemons of
+// other places.
+type Rows struct {
+	// One row for each daemon.
+	Rows []DaemonRow `json:"Rows"`
+}
+
 // SentPrompt names the parts of a prompt that a backend server has in its cache
 // from now on.
 type SentPrompt struct {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -8,13 +8,14 @@
 package quota
 
 import (
+	"cmp"
 	"maps"
 	"time"
 )
 
-// silentAfter is the age of a peer's last report from which it counts as silent.
+// defaultSilence is the age of a peer's last report from which it counts as silent.
 // Reports come several times a second.
-const silentAfter = time.Second
+const defaultSilence = time.Second
 
 // Limit is what an organisation may use.
 type Limit struct {
@@ -44,6 +45,10 @@
 
 // Book holds the buckets of all organisations. It has no lock.
 type Book struct {
+	// Silence is the age of a peer's last report from which it counts as silent; 0
+	// means a second.
+	Silence time.Duration
+
 	buckets map[string]*bucket
 	peers   map[string]*peer
 }
@@ -138,8 +143,8 @@
 	silent := p.charged.After(p.heard)
 	p.heard, p.gone = now, false
 	for name, v := range used {
-		more := v - p.used[name]
-		p.used[name] = v
+		more := max(v-p.used[name], 0)
+		p.used[name] = max(v, p.used[name])
 		// What a silent peer used was taken by assumption already.
 		if k := b.buckets[name]; k != nil && !silent {
 			b.refill(now, k)
@@ -176,7 +181,7 @@
 		if p.gone {
 			continue
 		}
-		from := p.heard.Add(silentAfter)
+		from := p.heard.Add(cmp.Or(b.Silence, defaultSilence))
 		if p.charged.After(from) {
 			from = p.charged
 		}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -103,7 +103,7 @@
 		// and a daemon that hears nobody does so for the time of silence.
 		slack := burst + float64(daemons)*rate*0.15
 		if apart {
-			slack = burst + float64(daemons)*rate*silentAfter.Seconds()
+			slack = burst + float64(daemons)*rate*defaultSilence.Seconds()
 		}
 		if most := rate*span + slack; admitted > most {
 			t.Fatalf("%d daemons admitted %.0f in %.0f s, want at most %.0f", daemons, admitted, span, most)
--- a/internal/routing/parts.go
+++ b/internal/routing/parts.go
@@ -72,6 +72,15 @@
 	return r.options.Backlog <= 0 || r.backlogSeconds(now, st) < r.options.Backlog.Seconds()
 }
 
+// remoteShare is the part of the slots of a server in another place that one daemon
+// takes, because it does not know what the others send there.
+const remoteShare = 1.0 / 16
+
+// spare reports whether a server in another place may get a request of this daemon.
+func (st *state) spare() bool {
+	return st.pending == 0 && float64(st.inFlight) < max(st.slots*remoteShare, 1)
+}
+
 // Loads returns the load that this daemon puts on the servers.
 func (r *Router) Loads() []ServerLoad {
 	var list []ServerLoad
@@ -173,7 +182,7 @@
 func (r *Router) chooseByParts(now time.Time, call *Call, t *Table, servers []int) Decision {
 	sc := r.scoring(now, call, t)
 	var rejected Rejected
-	free, full, unhealthy := none, none, none
+	here, free, full, unhealthy := none, none, none, none
 	considered := 0
 	head := headOf(call.Parts)
 	for _, i := range servers {
@@ -196,12 +205,18 @@
 			unhealthy = lower(unhealthy, c)
 		case sc.free(i, load):
 			free = lower(free, c)
+			if r.preferPlace && t.servers[i].Place == call.Place {
+				here = lower(here, c)
+			}
 		default:
 			c.reason = ReasonAllFull
 			full = lower(full, c)
 		}
 	}
-	best := free
+	best := here
+	if best.position < 0 {
+		best = free
+	}
 	if best.position < 0 {
 		best = full
 	}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -108,6 +108,8 @@
 
 	table *Table
 	view  []*state
+	// preferPlace says that servers in a call's own place go first.
+	preferPlace bool
 
 	candidates []candidate
 	ranks      []uint64
@@ -136,6 +138,10 @@
 	return r
 }
 
+// PreferPlace says whether servers in a call's own place go before all others, as
+// where only the daemons of a place tell each other what they send.
+func (r *Router) PreferPlace(prefer bool) { r.preferPlace = prefer }
+
 // sync aligns the router's state with a table. It does nothing for the table of the
 // last call.
 func (r *Router) sync(t *Table) {
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -81,7 +81,11 @@
 
 // free says whether a server with the given load has a free slot.
 func (sc *scoring) free(i int, load float64) bool {
-	return load <= sc.r.view[i].slots-1 && sc.r.backlogFree(sc.now, sc.r.view[i])
+	st := sc.r.view[i]
+	if sc.r.preferPlace && sc.t.servers[i].Place != sc.call.Place {
+		return st.spare()
+	}
+	return load <= st.slots-1 && sc.r.backlogFree(sc.now, st)
 }
 
 // score computes the terms of one server.
--- a/internal/scaling/scaling.go
+++ b/internal/scaling/scaling.go
@@ -84,14 +84,24 @@
 	// when demand is below it.
 	busy    float64
 	lowered time.Time
+	started time.Time
 }
 
 // Orders returns the servers to have in each place.
 func (p *Plan) Orders(now time.Time, d Demand, places []Place) []Order {
 	busy := Busy(d, p.Options)
+	if p.started.IsZero() {
+		p.started = now
+	}
+	if now.Sub(p.started) < shrinkAfter {
+		// The fleet that stands at the start was sized by somebody who knew the demand.
+		standing := 0
+		for _, place := range places {
+			standing += place.Steady
+		}
+		busy = max(busy, float64(max(standing, leastLevel))*reclaimableUse)
+	}
 	switch {
-	case p.lowered.IsZero():
-		p.busy, p.lowered = max(busy, leastLevel*reclaimableUse), now
 	case busy >= p.busy:
 		p.busy, p.lowered = busy, now
 	case now.Sub(p.lowered) >= shrinkAfter:
--- a/internal/scaling/scaling_test.go
+++ b/internal/scaling/scaling_test.go
@@ -187,3 +187,19 @@
 		}
 	}
 }
+
+// TestStandingFleet guards against giving up the servers that stand at the start for
+// the few that are ordered before any demand is known.
+func TestStandingFleet(t *testing.T) {
+	m := &market{}
+	for _, name := range []string{"a", "b", "c", "d", "e", "f"} {
+		m.places = append(m.places, Place{Name: name, Price: 1, Steady: 23})
+	}
+	p := &Plan{Options: Options{Min: 1, Max: 48, ReclaimablePrice: 0.15, PromptRate: 50_000, OutputRate: 9_000}}
+	for m.now < 9 {
+		m.step(p, Demand{})
+		if n := m.ready(); n < 138 {
+			t.Fatalf("second %.1f: %d of 138 servers are left", m.now, n)
+		}
+	}
+}
