scaling: hold the first fleet until demand is known; cmd: explain a request

Cause: the level before demand was known was held for 10 s from the first plan, which ends a second after traffic begins, and was the same for any size: on the grown site all but 6 servers of each place were given up at second 1.

The explain command collects the lines of a request and of its servers from several logs.

--- a/cmd/apricotbridge/main.go
+++ b/cmd/apricotbridge/main.go
@@ -54,6 +54,6 @@
 		SilenceUsage:  true,
 	}
 	root.AddCommand(newServe(), newStandin(), newDemo())
-	root.AddCommand(newCheck(), newApply(), newShow(), newDrain(), newRequest(), newVersion(), newBench())
+	root.AddCommand(newCheck(), newApply(), newShow(), newDrain(), newRequest(), newVersion(), newBench(), newExplain())
 	return root
 }
--- a/internal/gateway/duty.go
+++ b/internal/gateway/duty.go
@@ -34,8 +34,6 @@
 	reportAfter = 2 * time.Second
 	// orderEvery is how often the servers to have are worked out.
 	orderEvery = 500 * time.Millisecond
-	// orderWait is the time after the start in which servers that stand register.
-	orderWait = 3500 * time.Millisecond
 	// orderRetry is the wait after an order that failed.
 	orderRetry = time.Second
 	// orderAgain is how long beyond the boot time an order is given to bring its
@@ -305,6 +303,13 @@
 	s.g.Log.Info("usage reported", "Window", s.reported.Window, "Requests", s.reported.Requests, "Fence", s.duty.Fence())
 }
 
+// Before demand is known, servers are provided for in proportion to the daemons. The
+// sheets of letter 2 have two to three engines for each entry instance.
+const (
+	leastServers     = 24
+	serversPerDaemon = 3
+)
+
 // outputRate is the rate at which a full server generates tokens: 64 slots at
 // 7 ms a step (letter 2).
 const outputRate = 9000
@@ -312,7 +317,7 @@
 // order gives the orders of servers that differ from those given before.
 func (s *dutyState) order(ctx context.Context, now time.Time) {
 	g := s.g
-	if g.Orderer == nil || now.Sub(s.planned) < orderEvery || now.UnixNano()-g.start < int64(orderWait) {
+	if g.Orderer == nil || now.Sub(s.planned) < orderEvery {
 		return
 	}
 	s.planned = now
@@ -339,7 +344,8 @@
 		s.plans[service.Name] = p
 	}
 	p.Options = scaling.Options{
-		Min: service.Scaling.Min, Max: service.Scaling.Max, ReclaimablePrice: service.Scaling.ReclaimablePrice,
+		Least: max(leastServers, serversPerDaemon*len(v.Daemons)),
+		Min:   service.Scaling.Min, Max: service.Scaling.Max, ReclaimablePrice: service.Scaling.ReclaimablePrice,
 		PromptRate: prefillRate, OutputRate: outputRate,
 	}
 	demand := s.g.demand.total(now, service.Name)
--- a/internal/scaling/scaling.go
+++ b/internal/scaling/scaling.go
@@ -35,6 +35,8 @@
 type Options struct {
 	// Min and Max bound the servers in each place, both kinds together.
 	Min, Max int
+	// Least is how many servers to provide for before demand is known.
+	Least int
 	// ReclaimablePrice is the price of a reclaimable server as a part of that of a
 	// steady one; 0 means that there are none.
 	ReclaimablePrice float64
@@ -58,8 +60,6 @@
 	// steadyUse is that part for steady servers, of which each costs several times as
 	// much.
 	steadyUse = 0.4
-	// leastLevel is the number of servers provided for before any demand is known.
-	leastLevel = 24
 	// shrinkAfter is how long demand has to be below before servers are given up.
 	// Starting one again takes its boot time.
 	shrinkAfter = 10 * time.Second
@@ -84,22 +84,18 @@
 	// when demand is below it.
 	busy    float64
 	lowered time.Time
+	// started is when demand was first seen.
 	started time.Time
 }
 
 // Orders returns the servers to have in each place.
 func (p *Plan) Orders(now time.Time, d Demand, places []Place) []Order {
 	busy := Busy(d, p.Options)
-	if p.started.IsZero() {
+	if busy > 0 && p.started.IsZero() {
 		p.started = now
 	}
-	if now.Sub(p.started) < shrinkAfter {
-		// The fleet that stands at the start was sized by somebody who knew the demand.
-		standing := 0
-		for _, place := range places {
-			standing += place.Steady
-		}
-		busy = max(busy, float64(max(standing, leastLevel))*reclaimableUse)
+	if p.started.IsZero() || now.Sub(p.started) < shrinkAfter {
+		busy = max(busy, float64(p.Options.Least)*reclaimableUse)
 	}
 	switch {
 	case busy >= p.busy:
@@ -116,10 +112,10 @@
 	for i, place := range places {
 		orders[i].Place = place.Name
 	}
+	// What remains stands when the place with the most of them is reclaimed.
+	each := int(math.Ceil(p.busy / reclaimableUse / float64(max(len(places)-1, 1))))
 	spread(orders, p.steady(places), o.Max)
 	if o.ReclaimablePrice > 0 {
-		// What remains stands when the place with the most of them is reclaimed.
-		each := int(math.Ceil(p.busy / reclaimableUse / float64(max(len(places)-1, 1))))
 		for i := range orders {
 			orders[i].Reclaimable = max(min(each, o.Max-orders[i].Steady), 0)
 		}
