--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -24,6 +24,9 @@
 	// hedgeFactor is how many times its target an idempotent request waits for its
 	// answer before another server is tried.
 	hedgeFactor = 2
+	// blameAfter is how long a server may stay silent before new work is kept away from
+	// it. The longest requests of plain services take half of it.
+	blameAfter = time.Second
 	// minLeft is the least time for which a request is sent to another server.
 	minLeft = 100 * time.Millisecond
 )
@@ -249,13 +252,25 @@
 	if s.r.Context().Err() != nil {
 		s.gone("at server " + server.ID)
 	}
-	if !errors.Is(context.Cause(ctx), errLeaving) {
+	if s.blames(ctx) {
 		s.g.post(func(c *control) { c.suspected(time.Now(), server.ID) })
 	}
 	s.logAttempt(server, ending, err)
 	return result{ending: ending, err: err}
 }
 
+// blames reports whether the end of an attempt speaks against its server. The
+// timeout of a route may be shorter than what the server needs.
+func (s *session) blames(ctx context.Context) bool {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errLeaving):
+		return false
+	case errors.Is(cause, errTimeout):
+		return time.Since(s.received) >= blameAfter
+	}
+	return true
+}
+
 // began notes that a server may have begun to run the request.
 func (s *session) began() {
 	s.counted++
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -454,3 +454,18 @@
 		}
 	}
 }
+
+// TestShortTimeout guards against keeping work away from a server because the timeout
+// of one route is shorter than what its requests take.
+func TestShortTimeout(t *testing.T) {
+	w := newWorld(t)
+	w.server("s1", "model", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	n := w.gateway("g1")
+	if got := n.ask(t.Context(), http.MethodPost, "/short/"); got.status != http.StatusGatewayTimeout {
+		t.Fatalf("got %+v", got)
+	}
+	time.Sleep(2 * expireEvery)
+	if server, _ := n.view.Load().table.Server("s1"); server.Suspect {
+		t.Error("the server is suspected")
+	}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -345,7 +345,7 @@
 	took := time.Since(s.received)
 	s.g.measures.ended(outcome, took)
 	s.g.Log.Info("request ended", "RequestID", s.call.ID, "Route", name, "Service", s.service, "Organisation", s.organisation(),
-		"Rank", s.rank, "Outcome", outcome, "Status", status, "Detail", detail, "Took", took.Milliseconds(), "Sent", s.sent,
+		"Rank", s.rank, "Allowed", s.deadline.Sub(s.received).Milliseconds(), "Outcome", outcome, "Status", status, "Detail", detail, "Took", took.Milliseconds(), "Sent", s.sent,
 		"Ran", s.ran, "Events", s.stream.events)
 }
 
