--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,9 +78,9 @@
 	// UsageWindow is the length of a window of usage, and UsageDue how long after
 	// its end the report is due.
 	UsageWindow, UsageDue time.Duration
-	// ReuseAfter is after how long the address of a server that ended may belong
-	// to another one.
-	ReuseAfter time.Duration
+	// Apply is the time in which a change of the configuration, or the leaving of a
+	// server, has to be in force; 0 means a default.
+	Apply time.Duration
 }
 
 // Gateway is one daemon. Exported fields are set before Run.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -390,7 +390,7 @@
 	}
 	w.conf.Version = 4
 	w.configure()
-	time.Sleep(2 * pollEvery)
+	time.Sleep(2 * one.pollEvery())
 	if v := one.view.Load().Configuration().Version; v != 5 {
 		t.Errorf("went back to configuration %d", v)
 	}
--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
@@ -16,9 +17,11 @@
 const (
 	// watchWait is how long the store holds a watch of the daemons.
 	watchWait = 15 * time.Second
-	// pollEvery is how often the store is read. A server that leaves takes no new
-	// work within 2.5 s, and a configuration is in force within as long.
-	pollEvery = 700 * time.Millisecond
+	// pollPart of the time in which a change has to be in force is the time between
+	// two reads of the store: two may fail before the third is late.
+	pollPart = 0.28
+	// defaultApply is that time where the deployment states none.
+	defaultApply = 2500 * time.Millisecond
 	// pollStagger is how much longer each further daemon waits to be told, and
 	// pollLatest bounds it.
 	pollStagger = 150 * time.Millisecond
@@ -109,7 +112,12 @@
 			}
 		}
 	}
-	return fresh.Add(pollEvery + min(time.Duration(position)*pollStagger, pollLatest))
+	return fresh.Add(g.pollEvery() + min(time.Duration(position)*pollStagger, pollLatest))
+}
+
+// pollEvery is how often the store is read.
+func (g *Gateway) pollEvery() time.Duration {
+	return time.Duration(pollPart * float64(cmp.Or(g.Bounds.Apply, defaultApply)))
 }
 
 // readStore reads the store once.
