--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -112,13 +112,10 @@
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
-// dial opens a connection.
-func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
-	timeout := p.DialTimeout
-	if timeout <= 0 {
-		timeout = defaultDialTimeout
-	}
-	d := net.Dialer{
+// Dialer returns a dialer of connections that end when the other side is silent, also
+// while a response is waited for.
+func Dialer(timeout time.Duration) *net.Dialer {
+	return &net.Dialer{
 		Timeout: timeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveIdle, Count: keepAliveCount,
@@ -134,7 +131,15 @@
 			return failed
 		},
 	}
-	nc, err := d.DialContext(ctx, "tcp", address)
+}
+
+// dial opens a connection.
+func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
+	timeout := p.DialTimeout
+	if timeout <= 0 {
+		timeout = defaultDialTimeout
+	}
+	nc, err := Dialer(timeout).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/entry/duty.go
+++ b/internal/entry/duty.go
@@ -81,14 +81,5 @@
 
 func (u *duty) write(ctx context.Context, a lease.Write) lease.Event {
 	e, err := u.store.CompareAndSwap(ctx, a.Key, a.Value, a.Revision, "")
-	var conflict *keyvalue.ConflictError
-	switch {
-	case err == nil:
-		return lease.Committed{ID: a.ID, Revision: e.Revision}
-	case errors.As(err, &conflict):
-		return lease.CommitConflict{ID: a.ID, Current: conflict.Current}
-	case errors.Is(err, keyvalue.ErrUnavailable):
-		return lease.CommitRefused{ID: a.ID}
-	}
-	return lease.CommitUnknown{ID: a.ID}
+	return lease.Written(a.ID, e, err)
 }
--- a/internal/gateway/duty.go
+++ b/internal/gateway/duty.go
@@ -189,16 +189,7 @@
 	ctx, cancel := context.WithTimeout(ctx, dutyCall)
 	defer cancel()
 	e, err := s.g.Store.CompareAndSwap(ctx, a.Key, a.Value, a.Revision, "")
-	var conflict *keyvalue.ConflictError
-	switch {
-	case err == nil:
-		return lease.Committed{ID: a.ID, Revision: e.Revision}
-	case errors.As(err, &conflict):
-		return lease.CommitConflict{ID: a.ID, Current: conflict.Current}
-	case errors.Is(err, keyvalue.ErrUnavailable):
-		return lease.CommitRefused{ID: a.ID}
-	}
-	return lease.CommitUnknown{ID: a.ID}
+	return lease.Written(a.ID, e, err)
 }
 
 func (s *dutyState) readBack(ctx context.Context, a lease.Read) lease.Event {
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -245,7 +245,7 @@
 	return w
 }
 
-func (w *world) configure() { w.store.set("op/config", w.conf) }
+func (w *world) configure() { w.store.set("configuration", w.conf) }
 
 // backendServer is a backend server whose answers a test sets.
 type backendServer struct {
@@ -312,7 +312,7 @@
 		Daemon: id, Place: "a", Region: "r", Regions: map[string]string{"a": "r"},
 		CallerAddress: callers.Addr().String(), PeerAddress: peers.Addr().String(),
 		CallerListener: callers, PeerListener: peers, Store: w.store, Decoder: decoder{}, Protocol: protocol{},
-		Keys: Keys{Configuration: "op/config", Servers: "servers/"},
+		Keys: Keys{Configuration: "configuration", Servers: "servers/"},
 		Bounds: Bounds{
 			Grace: 3 * time.Second, RetryShare: 0.2, RetryBurst: 50, RetryWindow: 10 * time.Second, Lease: time.Second,
 			UsageWindow: time.Second, UsageDue: 10 * time.Second,
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -98,6 +98,20 @@
 func (ReadBack) event()       {}
 func (Resign) event()         {}
 
+// Written returns the event for the result of a Write.
+func Written(id uint64, e keyvalue.Entry, err error) Event {
+	var conflict *keyvalue.ConflictError
+	switch {
+	case err == nil:
+		return Committed{ID: id, Revision: e.Revision}
+	case errors.As(err, &conflict):
+		return CommitConflict{ID: id, Current: conflict.Current}
+	case errors.Is(err, keyvalue.ErrUnavailable):
+		return CommitRefused{ID: id}
+	}
+	return CommitUnknown{ID: id}
+}
+
 // Action is an output of Duty.Step.
 type Action interface{ action() }
 
