gateway: remove the fields of moves that are not built

Moving the memory of a run to another server was prepared and not built; a reader would have looked for the rest. It is listed as open in docs/platform.md.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -165,7 +165,7 @@
 	case route.Resume:
 		return s.stream.resumable()
 	}
-	return s.move != nil
+	return false
 }
 
 // fail answers the caller after the last attempt: with the server's own answer if
@@ -228,9 +228,6 @@
 	if id := s.stream.lastID; id != "" {
 		sending.LastEvent = id
 	}
-	if s.move != nil && s.move.to == server.ID {
-		sending.Copy = s.move.copy
-	}
 	target := s.r.RequestURI
 	if target == "" || target[0] != '/' {
 		target = s.r.URL.RequestURI()
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -46,9 +46,6 @@
 	Model bool
 	// LastEvent is the id of the last event that the caller has; empty means none.
 	LastEvent string
-	// Copy names the copy of an earlier run's memory with which the run goes on;
-	// empty means none.
-	Copy string
 }
 
 // Protocol translates headers. The adapter of a platform implements it.
--- a/internal/gateway/configuration.go
+++ b/internal/gateway/configuration.go
@@ -37,8 +37,6 @@
 	Slots int
 	// CacheTokens is the memory that running requests and cached parts share.
 	CacheTokens int
-	// Moves says that the memory of a run can be copied to another server.
-	Moves bool
 }
 
 // Scaling bounds the servers that may be ordered in each place.
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -207,9 +207,6 @@
 	if s.LastEvent != "" {
 		h.Set("Last-Event-Id", s.LastEvent)
 	}
-	if s.Copy != "" {
-		h.Set("X-Copy", s.Copy)
-	}
 	return h
 }
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -12,6 +12,7 @@
 
 	"apricotbridge/internal/backend"
 	"apricotbridge/internal/dispatch"
+	"apricotbridge/internal/route"
 	"apricotbridge/internal/routing"
 )
 
@@ -42,15 +43,9 @@
 // resumable reports whether a new run can go on after the last event.
 func (t *streamState) resumable() bool { return !t.unnumbered }
 
-// moved is the copy of a run's memory at another server.
-type moved struct {
-	to   string
-	copy string
-}
-
 // relay passes on the events of a stream as they arrive, whole ones only.
 func (s *session) relay(ctx context.Context, cancel context.CancelCauseFunc, server routing.Server, res *backend.Response) result {
-	watched := s.watchStop(ctx, cancel, server)
+	watched := s.watchStop(ctx, cancel)
 	defer func() {
 		cancel(nil)
 		<-watched
@@ -95,14 +90,15 @@
 	return s.deadline
 }
 
-// watchStop ends the attempt when its server is leaving.
-func (s *session) watchStop(ctx context.Context, cancel context.CancelCauseFunc, server routing.Server) <-chan struct{} {
+// watchStop ends the attempt when its server is leaving and the stream can go on at
+// another one.
+func (s *session) watchStop(ctx context.Context, cancel context.CancelCauseFunc) <-chan struct{} {
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		select {
 		case leaving := <-s.stop:
-			if leaving && s.leave(ctx, server) {
+			if leaving && s.route.Repeat == route.Resume {
 				cancel(errLeaving)
 			}
 		case <-ctx.Done():
@@ -111,12 +107,6 @@
 	return done
 }
 
-// leave prepares the move of a run to another server, and reports whether the run
-// can go on there.
-func (s *session) leave(context.Context, routing.Server) bool {
-	return s.repeatable()
-}
-
 // broken judges a stream that ended early.
 func (s *session) broken(ctx context.Context, server routing.Server, err error) result {
 	if s.r.Context().Err() != nil {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -92,8 +92,8 @@
 	// may have run it.
 	sent, counted int
 	stream        streamState
-	stop          chan bool
-	move          *moved
+	// stop tells the running attempt to end; true says that its server is leaving.
+	stop chan bool
 }
 
 // serve answers one request.
