--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -268,8 +268,8 @@
 	c.limitRetries()
 }
 
-// limitRetries takes an equal part of the budget of all daemons, and half of it, as
-// a window may hold a full burst and the share of the requests besides.
+// limitRetries bounds the second attempts at this daemon: a share of its requests,
+// and an equal part of what all daemons may send beyond that.
 func (c *control) limitRetries() {
 	n := float64(max(1, len(c.registered)))
 	b := c.g.Bounds
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -75,14 +75,14 @@
 // configuration yet, and against one that counts as ready.
 func TestUnknownConfiguration(t *testing.T) {
 	w := newWorld(t)
-	w.store.set2(true, false)
+	w.store.failures(true, false)
 	n := w.start("g1")
 	await(t, "listener answers", func() bool { return n.ask(t.Context(), http.MethodGet, "/safe/").err == nil })
 	if got := n.ask(t.Context(), http.MethodGet, "/safe/"); got.status != http.StatusServiceUnavailable || n.Ready() {
 		t.Errorf("got %+v, ready %v", got, n.Ready())
 	}
 	w.server("s1", "plain", signed("ok"))
-	w.store.set2(false, false)
+	w.store.failures(false, false)
 	await(t, "ready once the store answers", n.Ready)
 	if got := n.ask(t.Context(), http.MethodGet, "/safe/"); got.status != http.StatusOK {
 		t.Errorf("got %+v", got)
@@ -375,7 +375,7 @@
 	w := newWorld(t)
 	w.server("s1", "plain", signed("ok"))
 	one, two := w.gateway("g1"), w.gateway("g2")
-	w.store.set2(false, true)
+	w.store.failures(false, true)
 	w.conf.Version = 5
 	w.conf.Organisations = []Organisation{{Name: "new", Keys: []string{"key-new"}}}
 	w.configure()
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -70,7 +70,8 @@
 	delete(s.entries, key)
 }
 
-func (s *store) set2(away, deaf bool) {
+// failures sets whether all calls fail, and whether waiting ones hear nothing.
+func (s *store) failures(away, deaf bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.away, s.deaf = away, deaf
