--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -8,8 +8,8 @@
 	"apricotbridge/internal/routing"
 )
 
-// sentMax bounds the prompts that one status names. It is ten times what a daemon
-// sends between two statuses at the size of letter 2.
+// sentMax bounds the prompts that one status names. A peer that is not told of one
+// reads the shared part again at another server, which costs time only.
 const sentMax = 256
 
 // usageWindows is how many windows of usage a status carries. Each is reported
--- a/internal/gateway/topology.go
+++ b/internal/gateway/topology.go
@@ -14,7 +14,7 @@
 const (
 	// meshMax is the number of daemons up to which each keeps a link to every other.
 	// Beyond it the messages of a full mesh take more processor time than requests:
-	// 74 daemons used 6 s of a core in each second of a day.
+	// 74 daemons used 348 s of processor time in a day of 76 s (grown site, quiet-1).
 	meshMax = 16
 	// delegateCount is how many daemons of a place keep links to other places, so
 	// that one of them may be lost.
