entry, admission: end a drain after the callers' lists, keep accepted requests

A request answered with EOF. Cause: a draining daemon ended 0.9 s after its drain began, once it had been quiet for 250 ms, while callers may use a list of entries that names it for EntriesKeep (1 s there). A caller that connects while the daemon closes is cut off. The logs of two failing runs show "drain complete" before the list ends. A drain now lasts at least as long as the lists, plus 500 ms, within its deadline.

A handed-over stream refused as not run. Cause: the daemon that takes it over offers it to admission like a new request, whose deadline, counted from its arrival, may be out of reach. Admission now knows requests that were accepted before: no bound, limit or deadline refuses them, they go first in their organisation's queue, and a failure of theirs is not reported as not run.

Ruled out: load alone.

New tests TestDrainOutlastsListsOfEntries, TestAcceptedBefore and TestAcceptedRequestWaitsForServer fail without the change. The reclaim test prints the daemons' logs when it fails.

--- a/cmd/apricotbridge/reclaim_process_test.go
+++ b/cmd/apricotbridge/reclaim_process_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -102,6 +103,11 @@
 			})
 			time.Sleep(time.Second)
 			l.finish(t, f.record)
+			if t.Failed() {
+				for i := range f.ids {
+					t.Logf("%s at %s:\n%s", f.ids[i], f.daemon(i).addresses[0], f.daemon(i).output())
+				}
+			}
 			if len(l.drafts) < 50 {
 				t.Errorf("the run proves little: %d drafts", len(l.drafts))
 			}
@@ -152,3 +158,30 @@
 		}
 	}
 }
+
+// Guards P1 against a daemon that ends its drain while callers still use a list of
+// entries that names it: a request that it accepts while it closes is cut off.
+func TestDrainOutlastsListsOfEntries(t *testing.T) {
+	t.Parallel()
+	const keep = 1500 * time.Millisecond
+	f := newOrderFleet(t, samples.Shrestha, 2, map[string]any{"EntriesKeep": keep.String(), "DrainTimeout": "4s"})
+	f.startEngines(time.Millisecond)
+	f.waitModel()
+	address := f.daemon(0).addresses[0]
+	caller := newFollower(1, "counter-token", address)
+	defer caller.client.CloseIdleConnections()
+	caller.entry(t.Context())
+	fetched := time.Now()
+	if err := f.daemon(0).command.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(time.Until(fetched.Add(keep - 100*time.Millisecond)))
+	body := `{"model":"sahayak-llm","prompt":"late","max_tokens":5}`
+	res, err := caller.do(t.Context(), http.MethodPost, address, "/v1/completions", body, nil)
+	if err != nil {
+		t.Fatalf("a caller with a list of %v: %v", time.Since(fetched), err)
+	}
+	if p, err := problemOf(res); err != nil || p.Kind != problem.Draining {
+		t.Errorf("got %v and %v, want %s", p, err, problem.Draining)
+	}
+}
--- a/internal/admission/flow.go
+++ b/internal/admission/flow.go
@@ -259,7 +259,7 @@
 		}
 		for _, p := range q.pools {
 			it := p.newest(r, victim)
-			if it != nil && it.req.Attempts == 0 {
+			if it != nil && it.req.Attempts == 0 && !it.req.Accepted {
 				q.drop(it, problem.Overloaded, "displaced by more urgent work", q.spread(p, now, p.wait(q, now, r, victim)))
 				return true
 			}
@@ -269,7 +269,7 @@
 }
 
 // newest returns the last waiting request of an organisation. Requests that
-// were in service before wait at the head, so if it is one of them, all are.
+// were in service or accepted before wait at the head, so if it is one of them, all are.
 func (p *pool) newest(rank, org int) *item {
 	flows := p.ranks[rank].flows
 	if org >= len(flows) || flows[org] == nil {
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -71,6 +71,9 @@
 	Generated int
 	// Attempts is how often the request was in service before.
 	Attempts int
+	// Accepted says that a daemon accepted the request before, so that no bound,
+	// limit or deadline refuses it.
+	Accepted bool
 }
 
 // Decision is the outcome of Offer.
@@ -281,6 +284,10 @@
 	f := p.flow(q, ri, oi)
 	f.offered++
 	f.offeredWork += cost
+	if r.Accepted {
+		q.enter(now, r, f, cost, time.Time{})
+		return Decision{Queued: true}
+	}
 	wait := p.wait(q, now, ri, oi)
 	deadline := r.Deadline
 	if deadline.IsZero() && q.Ranks[ri].Deadline > 0 {
@@ -300,13 +307,20 @@
 	if q.queued >= q.MaxQueued && !q.displace(now, -1, ri) {
 		return q.refuse(p, now, cost, problem.Overloaded, "queue of the daemon is full", wait)
 	}
+	q.enter(now, r, f, cost, deadline)
+	return Decision{Queued: true, Wait: wait}
+}
+
+// enter puts a request into the queue, one that was accepted before at the head of
+// its organisation's, like one that was returned.
+func (q *Queue) enter(now time.Time, r Request, f *flow, cost float64, deadline time.Time) {
+	p := q.pool(r.Service)
 	it := q.newItem()
 	it.req, it.pool, it.cost, it.deadline, it.state = r, p, cost, deadline, waiting
 	it.flow, it.queuedAt = f, now
 	q.items[r.ID] = it
-	p.ranks[ri].arrivals.add(now, cost)
-	q.push(it, false)
-	return Decision{Queued: true, Wait: wait}
+	p.ranks[f.rank].arrivals.add(now, cost)
+	q.push(it, r.Accepted)
 }
 
 // Next returns the request to run now. Whenever a request waits for a service
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -211,6 +211,39 @@
 	}
 }
 
+// TestAcceptedBefore guards against refusing a request that another daemon
+// accepted and handed over: no bound, limit or deadline applies to it again.
+func TestAcceptedBefore(t *testing.T) {
+	q := learned(t, &Queue{
+		MaxQueued:     1,
+		Organisations: []Organisation{{Name: "a", MaxQueued: 1, RequestsPerSecond: 0.001}},
+	}, 1)
+	if d := q.Offer(start, request("full", "a", "batch")); !d.Queued {
+		t.Fatalf("got %+v", d)
+	}
+	accepted := request("moved", "a", "normal")
+	accepted.Accepted, accepted.Arrived = true, start.Add(-time.Minute)
+	if d := q.Offer(start, accepted); !d.Queued {
+		t.Errorf("got %+v", d)
+	}
+	// More urgent requests displace the new one, and then no other.
+	if d := q.Offer(start, request("u0", "b", "urgent")); !d.Queued {
+		t.Errorf("got %+v", d)
+	}
+	if d := q.Offer(start, request("u1", "b", "urgent")); d.Kind != problem.Overloaded {
+		t.Errorf("got %+v", d)
+	}
+	now := start.Add(time.Minute)
+	for _, d := range q.Dropped(now, nil) {
+		if d.Request.ID == "moved" {
+			t.Errorf("dropped %+v", d)
+		}
+	}
+	if id := next(t, q, now); id != "moved" {
+		t.Errorf("got %s", id)
+	}
+}
+
 // TestExpired guards against serving a request after its deadline, also
 // between two scans of the queue.
 func TestExpired(t *testing.T) {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -139,8 +139,10 @@
 		d.counts.Refused++
 		return problem.New(problem.Poisonous, "the same request has crashed backend servers")
 	}
+	// The daemon that accepted the request may have sent it to a server.
+	w.begun = w.Request.Accepted
 	decision := d.Queue.Offer(now, w.Request)
-	if decision.Queued && !w.Durable && !d.anyServer(w.Request.Service) {
+	if decision.Queued && !w.Durable && !w.Request.Accepted && !d.anyServer(w.Request.Service) {
 		// The offer counts as demand, for which placement starts servers.
 		d.Queue.Cancel(now, w.Request.ID)
 		d.counts.Refused++
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -80,6 +80,32 @@
 	}
 }
 
+// Guards P1 against a handed-over request that the daemon which took it over refuses
+// for want of a backend server, or reports as not run.
+func TestAcceptedRequestWaitsForServer(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	d := newDispatcher()
+	d.SetTable(now, table())
+	w := work("moved")
+	w.Request.Accepted = true
+	if p := d.Submit(now, w); p != nil {
+		t.Fatalf("refused: %v", p)
+	}
+	for range 10 {
+		now = now.Add(time.Second)
+		d.Tick(now)
+	}
+	d.SetTable(now, table(1))
+	select {
+	case g := <-w.Grants():
+		if g.Problem != nil {
+			t.Errorf("given up: %v", g.Problem)
+		}
+	default:
+		t.Error("no turn with a free server")
+	}
+}
+
 // Guards the bound on poisonous requests against a copy that waited while others
 // crashed servers, and that is then run like a request without suspicion.
 func TestWaitingCopyOfPoisonousRequestIsRefused(t *testing.T) {
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -23,7 +23,7 @@
 		Request: admission.Request{
 			ID: call.id, Organisation: call.organisation, Rank: call.rank, Service: call.service.Name,
 			PromptTokens: len(call.prompt) / routing.BytesPerToken, MaxTokens: call.maxTokens, Arrived: call.received,
-			Generated: a.generated(),
+			Generated: a.generated(), Accepted: call.accepted,
 		},
 		Call: routing.Call{
 			RequestID: call.id, Service: call.service.Name, Rank: call.rank, Model: call.model, Session: call.session,
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -151,8 +151,7 @@
 }
 
 func (d *Daemon) serveEntries(w http.ResponseWriter, _ *http.Request, c *caller) *problem.Problem {
-	keep := d.Settings.EntriesKeep.Or(defaultEntriesKeep)
-	writeJSON(w, http.StatusOK, entriesBody{Entries: d.entries(c.view), KeepSeconds: keep.Seconds()})
+	writeJSON(w, http.StatusOK, entriesBody{Entries: d.entries(c.view), KeepSeconds: d.entriesKeep().Seconds()})
 	return nil
 }
 
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -58,11 +58,14 @@
 	return a.idle
 }
 
-// settle is how long a draining daemon goes on to answer, so that callers which
-// hold an older list of entries are told where to go instead of finding a closed
-// port.
+// settle is how much longer than callers keep a list of entries a draining daemon
+// goes on to answer, for peers that hear of the drain late and callers that get a
+// list slowly.
 const settle = 500 * time.Millisecond
 
+// entriesKeep is how long callers may use a list of entries.
+func (d *Daemon) entriesKeep() time.Duration { return d.Settings.EntriesKeep.Or(defaultEntriesKeep) }
+
 const (
 	// quietTime is how long a drained daemon has no request before it ends. A peer or a
 	// caller that sent one to a daemon which ends meanwhile does not know whether it
@@ -115,7 +118,9 @@
 		defer close(moving)
 		d.handOverRequests(ctx, deadline)
 	}()
-	sleep(ctx, settle)
+	// A caller with an older list is told where to go. If the daemon ended earlier, a
+	// request that it has just accepted would be cut off.
+	sleep(ctx, d.entriesKeep()+settle)
 	<-released
 	select {
 	case <-d.active.empty():
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -174,6 +174,7 @@
 		d.dispatcher.MergeSuspects(time.Now(), h.Suspects)
 		call.suspect = true
 	}
+	call.accepted = true
 	a := d.newAnswer(call)
 	a.buffer = buffer
 	if server, ok := v.Table.Server(h.Server); ok && h.EngineStream != "" {
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -50,6 +50,8 @@
 	received     time.Time
 	// durable is set for a draft that was accepted with 202.
 	durable bool
+	// accepted is set for a request that another daemon accepted and handed over.
+	accepted bool
 	// suspect is set for a request that was handed over to run in quarantine here.
 	suspect bool
 	// previous is the attempt before the present one.
