gateway: send sums by place once a name, and read the store once for all places

Cause: on 74 daemons the statuses and the rows that delegates pass on named daemon, organisation and field in each count, 5,214 bytes for the row of one daemon with 16 organisations, twice a second on each of four paths and in each status to ten delegates every 150 ms. They took most of the 0.827 GB between places and 0.569 GB between regions, and of links of 10 Mbit/s. Links of the first seconds, when fewer than 17 daemons had registered, stayed in use for ever, as statuses kept them busy. Each place read the store for itself.

Now lists stand in the order of one list of names (393 bytes a row), delegates of other places get a short status, links outside the topology are not used and end, the first delegate reads the store for all and delegates pass on what it tells, a configuration is sent only to peers that lack it. Least servers follow those that are there, and the output rate of an engine its slots.

Ruled out: compression of the messages, for processor time on 0.192 cores.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -25,6 +26,9 @@
 	// peerSilence is how long a peer that sent nothing counts as alive. Statuses
 	// come several times a second.
 	peerSilence = 1200 * time.Millisecond
+	// shareAgain is how long a peer may take to adopt a configuration before it is
+	// sent again. Statuses come several times in this time.
+	shareAgain = 500 * time.Millisecond
 	// prefillRate is the assumed rate at which a server reads prompts, in tokens a
 	// second. The platform does not state it; the sheets of letter 2 give 51.1 a ms.
 	prefillRate = 50_000
@@ -46,8 +50,9 @@
 	index   *index
 	Members map[string]fleet.Member
 	Daemons []Daemon
-	// ByPlace and Delegate are those of the topology of links.
+	// ByPlace, Delegate and Delegates are those of the topology of links.
 	ByPlace, Delegate bool
+	Delegates         map[string]bool
 	table             *routing.Table
 }
 
@@ -61,8 +66,10 @@
 
 // control is the state of the control goroutine.
 type control struct {
-	g        *Gateway
-	index    *index
+	g     *Gateway
+	index *index
+	// adopted is when the configuration was put in force.
+	adopted  time.Time
 	fleet    *fleet.Set
 	suspects map[string]*suspect
 	// registered holds the daemons that are in the store.
@@ -122,7 +129,7 @@
 	}
 	c.g.Log.Info("configuration adopted", "Version", next.Version, "Source", source, "Routes", len(next.Routes),
 		"Services", len(next.Services), "Organisations", len(next.Organisations))
-	c.index = newIndex(next)
+	c.index, c.adopted = newIndex(next), now
 	c.changed = true
 	var ranks []admission.Rank
 	for r := range rankCount {
@@ -136,15 +143,32 @@
 	c.g.quotaMu.Lock()
 	c.g.quotas.Configure(now, c.index.quotas())
 	c.g.quotaMu.Unlock()
-	c.share(nil)
+	c.share(c.lacking(source))
 }
 
 // rankCount is the number of ranks that engines tell apart.
 const rankCount = 10
 
-// share sends the configuration to one peer, or to all.
-func (c *control) share(to *string) {
-	if c.index == nil || len(c.index.Document) == 0 {
+// lacking returns the peers that have not heard of a configuration from its source.
+// A peer that misses it all the same is sent it when its status shows so.
+func (c *control) lacking(source string) []string {
+	var ids []string
+	from := c.peers[source]
+	for id, p := range c.peers {
+		switch {
+		case from == nil:
+			// This daemon read it from the store.
+		case !c.topology.ByPlace || !c.topology.Delegate, p.hello.Place == from.hello.Place:
+			continue
+		}
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// share sends the configuration to peers.
+func (c *control) share(to []string) {
+	if c.index == nil || len(c.index.Document) == 0 || len(to) == 0 {
 		return
 	}
 	m := message.Configuration{Revision: c.index.Version, Value: message.Pack(c.index.Document)}
@@ -153,11 +177,9 @@
 		c.g.Log.Error(err, "configuration not sent")
 		return
 	}
-	for id := range c.peers {
-		if to == nil || *to == id {
-			if err := c.g.hub.Send(id, message.KindConfiguration, data); err != nil {
-				c.g.Log.V(1).Info("configuration not sent", "Peer", id, "Error", err.Error())
-			}
+	for _, id := range to {
+		if err := c.g.hub.Send(id, message.KindConfiguration, data); err != nil {
+			c.g.Log.V(1).Info("configuration not sent", "Peer", id, "Error", err.Error())
 		}
 	}
 }
@@ -187,14 +209,19 @@
 	if c.index != nil {
 		m.Version = c.index.Version
 	}
+	c.sendListing(m, func(peerState) bool { return true })
+}
+
+// sendListing sends a listing to the peers that to selects.
+func (c *control) sendListing(m message.Listing, to func(peerState) bool) {
 	data, err := message.Encode(message.KindListing, m)
 	if err != nil {
 		c.g.Log.Error(err, "listing not sent")
 		return
 	}
 	for id, p := range c.peers {
-		if c.topology.ByPlace && p.hello.Place != c.g.Place {
-			continue // A daemon of that place reads the store for it.
+		if !to(*p) {
+			continue
 		}
 		if err := c.g.hub.Send(id, message.KindListing, data); err != nil {
 			c.g.Log.V(1).Info("listing not sent", "Peer", id, "Error", err.Error())
@@ -203,14 +230,17 @@
 }
 
 // told takes what a peer read from the store. A daemon that then knows the same as
-// the peer need not read it.
-func (c *control) told(now time.Time, m message.Listing) {
+// the peer need not read it. A delegate passes on what other places tell.
+func (c *control) told(now time.Time, from message.Hello, m message.Listing) {
 	for _, e := range m.Changes {
 		r := c.g.Decoder.Registration(keyvalue.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted})
 		if change, ok := c.fleet.Apply(now, r); ok {
 			c.serverChanged(now, change)
 		}
 	}
+	if c.topology.ByPlace && c.topology.Delegate && from.Place != c.g.Place {
+		c.sendListing(m, func(p peerState) bool { return p.hello.Place == c.g.Place })
+	}
 	if c.listed && c.index != nil && c.index.Version >= m.Version && c.fleet.Hash() == m.Hash {
 		c.g.fresh.Store(&now)
 	}
@@ -249,7 +279,7 @@
 func (c *control) daemons(now time.Time, list map[string]Daemon) {
 	c.registered = list
 	c.changed = true
-	c.topology = planTopology(Daemon{ID: c.g.Daemon, Place: c.g.Place}, slices.Collect(maps.Values(list)))
+	c.topology = planTopology(Daemon{ID: c.g.Daemon, Place: c.g.Place}, slices.Collect(maps.Values(list)), cmp.Or(c.g.MeshMax, meshMax))
 	c.g.hub.Keep(c.topology.Targets)
 	var ids []string
 	for id := range list {
@@ -294,8 +324,8 @@
 		c.g.Log.Info("peer draining", "Peer", from.Daemon, "Draining", s.Draining)
 	}
 	p.hello, p.heard = from, now
-	if c.index != nil && s.Revision < c.index.Version {
-		c.share(&from.Daemon)
+	if c.index != nil && s.Revision < c.index.Version && now.Sub(c.adopted) > shareAgain {
+		c.share([]string{from.Daemon})
 	}
 	c.g.dutyHeard(now, s.Duty)
 }
@@ -345,7 +375,7 @@
 	}
 	v.table = routing.NewTable(servers, c.links())
 	v.Daemons = c.known()
-	v.ByPlace, v.Delegate = c.topology.ByPlace, c.topology.Delegate
+	v.ByPlace, v.Delegate, v.Delegates = c.topology.ByPlace, c.topology.Delegate, c.topology.Delegates
 	c.g.view.Store(v)
 	c.g.dispatcher.SetTable(now, v.table)
 }
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -38,7 +38,8 @@
 	end := started.Add(g.Bounds.Grace - drainMargin)
 	g.Log.Info("drain started", "InFlight", g.inFlight.Load(), "Until", end)
 	g.post(func(c *control) { c.changed = true })
-	g.broadcast()
+	g.broadcast(near)
+	g.broadcast(far)
 	pause(ctx, min(lookupTime, max(g.Bounds.Grace/2, 0)))
 	for g.inFlight.Load() > 0 && time.Now().Before(end) {
 		if !pause(ctx, drainPoll) {
--- a/internal/gateway/duty.go
+++ b/internal/gateway/duty.go
@@ -294,16 +294,14 @@
 	s.g.Log.Info("usage reported", "Window", s.reported.Window, "Requests", s.reported.Requests, "Fence", s.duty.Fence())
 }
 
-// Before demand is known, servers are provided for in proportion to the daemons. The
-// sheets of letter 2 have two to three engines for each entry instance.
-const (
-	leastServers     = 24
-	serversPerDaemon = 3
-)
+// leastServers is how many servers are provided for before demand is known, unless
+// more are there: the sheets of letter 2 have 18 engines for 110 requests a second, which
+// fall short when a place is reclaimed in the first seconds.
+const leastServers = 24
 
-// outputRate is the rate at which a full server generates tokens: 64 slots at
-// 7 ms a step (letter 2).
-const outputRate = 9000
+// stepTime is the time in which a full engine generates one token for each of its slots
+// (letter 2).
+const stepTime = 7 * time.Millisecond
 
 // order gives the orders of servers that differ from those given before.
 func (s *dutyState) order(ctx context.Context, now time.Time) {
@@ -331,13 +329,13 @@
 func (s *dutyState) plan(now time.Time, v *View, service *Service) []ServerOrder {
 	p := s.plans[service.Name]
 	if p == nil {
-		p = &scaling.Plan{}
+		p = &scaling.Plan{Options: scaling.Options{Least: max(leastServers, s.accepting(v, service))}}
 		s.plans[service.Name] = p
 	}
 	p.Options = scaling.Options{
-		Least: max(leastServers, serversPerDaemon*len(v.Daemons)),
+		Least: p.Options.Least,
 		Min:   service.Scaling.Min, Max: service.Scaling.Max, ReclaimablePrice: service.Scaling.ReclaimablePrice,
-		PromptRate: prefillRate, OutputRate: outputRate,
+		PromptRate: prefillRate, OutputRate: float64(service.Engine.Slots) / stepTime.Seconds(),
 	}
 	demand := s.g.demand.total(now, service.Name)
 	var orders []ServerOrder
@@ -367,6 +365,15 @@
 	return list
 }
 
+// accepting counts the servers of a service that take work.
+func (s *dutyState) accepting(v *View, service *Service) int {
+	n := 0
+	for place := range service.Scaling.Prices {
+		n += s.ready(v, service, place, true) + s.ready(v, service, place, false)
+	}
+	return n
+}
+
 // ready counts the servers of a kind in a place that take work.
 func (s *dutyState) ready(v *View, service *Service, place string, reclaimable bool) int {
 	n := 0
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -98,7 +98,10 @@
 	Protocol                   Protocol
 	Keys                       Keys
 	Bounds                     Bounds
-	Backends                   *backend.Pool
+	// MeshMax is the number of daemons up to which each keeps a link to every other;
+	// 0 means a default.
+	MeshMax  int
+	Backends *backend.Pool
 	// Reporter takes usage reports and Orderer orders of servers; nil leaves the
 	// duty out.
 	Reporter Reporter
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -303,11 +303,14 @@
 	return n
 }
 
-func (w *world) start(id string) *node {
+func (w *world) start(id string) *node { return w.startIn(id, "a", 0) }
+
+// startIn starts a gateway in a place.
+func (w *world) startIn(id, place string, meshMax int) *node {
 	w.t.Helper()
 	callers, peers := listen(w.t), listen(w.t)
 	g := &Gateway{
-		Daemon: id, Place: "a", Region: "r", Regions: map[string]string{"a": "r"},
+		Daemon: id, Place: place, Region: "r", Regions: map[string]string{"a": "r", "b": "r", "c": "r"}, MeshMax: meshMax,
 		CallerAddress: callers.Addr().String(), PeerAddress: peers.Addr().String(),
 		CallerListener: callers, PeerListener: peers, Store: w.store, Decoder: decoder{}, Protocol: protocol{},
 		Keys: Keys{Configuration: "configuration", Servers: "servers/"},
--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -15,8 +15,9 @@
 )
 
 const (
-	// watchWait is how long the store holds a watch of the daemons.
-	watchWait = 15 * time.Second
+	// watchWait is how long the store holds a watch of the daemons, of the 30 s that it
+	// allows at most.
+	watchWait = 28 * time.Second
 	// pollPart of the time in which a change has to be in force is the time between
 	// two reads of the store: two may fail before the third is late.
 	pollPart = 0.28
@@ -104,15 +105,25 @@
 	if fresh == nil {
 		return time.Time{}
 	}
+	return fresh.Add(g.pollEvery() + g.view.Load().pollDelay(g.Daemon))
+}
+
+// pollDelay is how much longer than the first daemon this one waits to be told. With
+// links by place only delegates hear of all others, so that they come first.
+func (v *View) pollDelay(self string) time.Duration {
+	if v == nil {
+		return 0
+	}
+	if v.ByPlace && !v.Delegate {
+		return pollLatest
+	}
 	position := 0
-	if v := g.view.Load(); v != nil {
-		for _, d := range v.Daemons {
-			if d.Alive && d.ID < g.Daemon {
-				position++
-			}
+	for _, d := range v.Daemons {
+		if d.Alive && d.ID < self && (!v.ByPlace || v.Delegates[d.ID]) {
+			position++
 		}
 	}
-	return fresh.Add(g.pollEvery() + min(time.Duration(position)*pollStagger, pollLatest))
+	return min(time.Duration(position)*pollStagger, pollLatest)
 }
 
 // pollEvery is how often the store is read.
@@ -270,49 +281,52 @@
 	known[id] = Daemon{ID: r.Daemon, Place: r.Place, Region: r.Region, CallerAddress: r.CallerAddress, PeerAddress: r.PeerAddress}
 }
 
-// statusEvery is how often peers are told of this daemon's load.
-const statusEvery = 150 * time.Millisecond
+const (
+	// statusEvery is how often peers are told of this daemon's load.
+	statusEvery = 150 * time.Millisecond
+	// farEvery is how many of these pass between statuses to delegates of other
+	// places. Those only show that this daemon is alive and whether it holds the duty.
+	farEvery = 2
+)
 
 // sendStatus tells the peers what this daemon does.
 func (g *Gateway) sendStatus(ctx context.Context) error {
 	ticker := time.NewTicker(statusEvery)
 	defer ticker.Stop()
-	for {
+	for round := 0; ; round++ {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
 		}
-		g.broadcast()
+		g.broadcast(near)
+		if round%farEvery == 0 {
+			g.broadcast(far)
+		}
 	}
 }
 
-// broadcast sends the status of this daemon to all peers.
-func (g *Gateway) broadcast() {
-	peers := g.hub.Peers()
-	now := time.Now()
-	s, far := g.status(now, true), g.status(now, false)
-	if len(peers) == 0 {
-		return
+// broadcast sends the status of this daemon to the peers of a scope.
+func (g *Gateway) broadcast(scope statusScope) {
+	v := g.view.Load()
+	var to []string
+	for _, p := range g.hub.Peers() {
+		// A link of an earlier topology ends when nothing is sent on it.
+		if v.links(g.Place, p) && (v.byPlace() && p.Place != g.Place) == (scope == far) {
+			to = append(to, p.Daemon)
+		}
 	}
-	data, err := message.Encode(message.KindStatus, s)
-	if err != nil {
-		g.Log.Error(err, "status not sent")
+	if len(to) == 0 {
 		return
 	}
-	farData, err := message.Encode(message.KindStatus, far)
+	data, err := message.Encode(message.KindStatus, g.status(time.Now(), scope))
 	if err != nil {
 		g.Log.Error(err, "status not sent")
 		return
 	}
-	v := g.view.Load()
-	for _, p := range peers {
-		sent := data
-		if v != nil && v.ByPlace && p.Place != g.Place {
-			sent = farData
-		}
-		if err := g.hub.Send(p.Daemon, message.KindStatus, sent); err != nil {
-			g.Log.V(1).Info("status not sent", "Peer", p.Daemon, "Error", err.Error())
+	for _, id := range to {
+		if err := g.hub.Send(id, message.KindStatus, data); err != nil {
+			g.Log.V(1).Info("status not sent", "Peer", id, "Error", err.Error())
 		}
 	}
 }
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -12,44 +12,35 @@
 // reads the shared part again at another server, which costs time only.
 const sentMax = 256
 
-// usageWindows is how many windows of usage a status carries. Each is reported
-// within two windows of its end.
-const usageWindows = 2
+// statusScope says to whom a status goes.
+type statusScope uint8
+
+const (
+	// near peers share this daemon's servers.
+	near statusScope = iota + 1
+	// far peers are delegates of other places, to whom rows are passed apart.
+	far
+)
 
 // status returns what this daemon tells its peers.
-// A status for other places leaves out what only matters to those that share the
-// same servers.
-func (g *Gateway) status(now time.Time, whole bool) message.Status {
+func (g *Gateway) status(now time.Time, scope statusScope) message.Status {
 	s := message.Status{Clock: time.Now().UnixMilli(), Draining: g.draining.Load(), Duty: g.holding.Load()}
 	if c := g.view.Load().Configuration(); c != nil {
 		s.Revision = c.Version
 	}
-	s.Demands = g.demand.own(now)
-	if whole {
-		for _, l := range g.dispatcher.Loads() {
-			s.Loads = append(s.Loads, message.ServerLoad{Server: l.Server, Running: l.Running, Pending: l.Pending})
-		}
-		g.sentMu.Lock()
-		s.Sent, g.sent = g.sent, nil
-		g.sentMu.Unlock()
-	}
-	g.quotaMu.Lock()
-	for name, amount := range g.quotas.Used() {
-		s.Used = append(s.Used, message.QuotaUse{Organisation: name, Amount: amount})
-	}
-	g.quotaMu.Unlock()
-	if g.Bounds.UsageWindow <= 0 {
+	if scope == far {
 		return s
 	}
-	g.countMu.Lock()
-	defer g.countMu.Unlock()
-	current := accounting.WindowOf(g.clock.Now(now, time.Now()), g.Bounds.UsageWindow)
-	g.counts.Forget(current)
-	for _, c := range g.counts.Counts(g.Daemon, g.start, current-usageWindows) {
-		s.Windows = append(s.Windows, message.WindowCount{
-			Daemon: c.Daemon, Start: c.Start, Window: int64(c.Window), Organisation: c.Organisation, Requests: c.Requests,
-		})
+	own := encodeRows(now, []row{g.ownRow(now)})
+	s.Own, s.Loads = &own, &message.ServerLoads{}
+	for _, l := range g.dispatcher.Loads() {
+		s.Loads.Servers = append(s.Loads.Servers, l.Server)
+		s.Loads.Running = append(s.Loads.Running, l.Running)
+		s.Loads.Pending = append(s.Loads.Pending, l.Pending)
 	}
+	g.sentMu.Lock()
+	s.Sent, g.sent = g.sent, nil
+	g.sentMu.Unlock()
 	return s
 }
 
@@ -78,7 +69,7 @@
 			g.Log.Info("listing not readable", "Peer", from.Daemon, "Error", err.Error())
 			return
 		}
-		g.post(func(c *control) { c.told(now, m) })
+		g.post(func(c *control) { c.told(now, from, m) })
 	case message.KindConfiguration:
 		m, err := message.Decode[message.Configuration](e)
 		if err != nil {
@@ -96,10 +87,6 @@
 
 // merge takes the parts of a status that traffic reads.
 func (g *Gateway) merge(now time.Time, from message.Hello, s message.Status) {
-	loads := make([]routing.ServerLoad, 0, len(s.Loads))
-	for _, l := range s.Loads {
-		loads = append(loads, routing.ServerLoad{Server: l.Server, Running: l.Running, Pending: l.Pending})
-	}
 	for _, p := range s.Sent {
 		if len(p.Prefixes) != len(p.Tokens) {
 			continue
@@ -110,16 +97,31 @@
 		}
 		g.dispatcher.PeerSent(p.Server, parts, p.Expected)
 	}
-	g.dispatcher.PeerLoads(now, from.Daemon, loads)
-	r := rowFrom(from, s)
-	if g.noteRow(row{DaemonRow: r, at: now}) {
-		g.mergeRow(now, r)
+	if s.Loads != nil {
+		g.dispatcher.PeerLoads(now, from.Daemon, loadsOf(s.Loads))
+	}
+	if s.Own != nil {
+		for _, r := range decodeRows(now, *s.Own) {
+			if r.daemon == from.Daemon && g.noteRow(r) {
+				g.mergeRow(r)
+			}
+		}
 	}
 	g.countMu.Lock()
 	g.clock.Heard(now, from.Daemon, time.Now(), time.UnixMilli(s.Clock))
 	g.countMu.Unlock()
 }
 
+// loadsOf returns the loads of a status.
+func loadsOf(m *message.ServerLoads) []routing.ServerLoad {
+	n := min(len(m.Servers), len(m.Running), len(m.Pending))
+	loads := make([]routing.ServerLoad, n)
+	for i := range loads {
+		loads[i] = routing.ServerLoad{Server: m.Servers[i], Running: m.Running[i], Pending: m.Pending[i]}
+	}
+	return loads
+}
+
 // noteSent records a prompt for the next status.
 func (g *Gateway) noteSent(server string, call *Call) {
 	if len(call.Parts) == 0 {
--- a/internal/gateway/topology.go
+++ b/internal/gateway/topology.go
@@ -2,11 +2,8 @@
 
 import (
 	"cmp"
-	"context"
 	"slices"
-	"time"
 
-	"apricotbridge/internal/accounting"
 	"apricotbridge/internal/message"
 	"apricotbridge/internal/peer"
 )
@@ -19,13 +16,6 @@
 	// delegateCount is how many daemons of a place keep links to other places, so
 	// that one of them may be lost.
 	delegateCount = 2
-	// rowsEvery is how often delegates pass on what the daemons of a place told.
-	rowsEvery = 500 * time.Millisecond
-	// rowLife is how long a row is passed on after its daemon told it.
-	rowLife = 3 * time.Second
-	// placesSilence is how long a daemon of another place is silent before it counts
-	// so: its row takes two steps of rowsEvery and one of its own status.
-	placesSilence = 3 * time.Second
 )
 
 // topology says to which daemons links are kept.
@@ -35,24 +25,25 @@
 	ByPlace bool
 	// Delegate says that this daemon is one.
 	Delegate bool
-	Targets  []peer.Target
+	// Delegates are all of them, by id.
+	Delegates map[string]bool
+	Targets   []peer.Target
 }
 
 // planTopology returns the links of a daemon among those that are registered.
-func planTopology(self Daemon, registered []Daemon) topology {
+func planTopology(self Daemon, registered []Daemon, meshMax int) topology {
 	registered = slices.Clone(registered)
 	slices.SortFunc(registered, func(a, b Daemon) int { return cmp.Compare(a.ID, b.ID) })
-	t := topology{ByPlace: len(registered) > meshMax}
+	t := topology{ByPlace: len(registered) > meshMax, Delegates: map[string]bool{}}
 	seen := map[string]int{}
-	delegate := map[string]bool{}
 	for _, d := range registered {
 		if seen[d.Place]++; seen[d.Place] <= delegateCount {
-			delegate[d.ID] = true
+			t.Delegates[d.ID] = true
 		}
 	}
-	t.Delegate = !t.ByPlace || delegate[self.ID]
+	t.Delegate = !t.ByPlace || t.Delegates[self.ID]
 	for _, d := range registered {
-		near := !t.ByPlace || d.Place == self.Place || t.Delegate && delegate[d.ID]
+		near := !t.ByPlace || d.Place == self.Place || t.Delegate && t.Delegates[d.ID]
 		if near && d.ID != self.ID {
 			t.Targets = append(t.Targets, peer.Target{ID: d.ID, Address: d.PeerAddress})
 		}
@@ -60,105 +51,11 @@
 	return t
 }
 
-// row is what a daemon told of itself, as of a time.
-type row struct {
-	message.DaemonRow
-	at time.Time
-}
-
-// noteRow keeps what a daemon told, and reports whether it is news.
-func (g *Gateway) noteRow(r row) bool {
-	g.rowsMu.Lock()
-	defer g.rowsMu.Unlock()
-	if old, ok := g.rows[r.Daemon]; ok && !r.at.After(old.at) {
-		return false
-	}
-	g.rows[r.Daemon] = r
-	return true
-}
-
-// rowsOf returns the rows of the daemons in this place, or of those in all others.
-func (g *Gateway) rowsOf(now time.Time, here bool) message.Rows {
-	g.rowsMu.Lock()
-	defer g.rowsMu.Unlock()
-	var m message.Rows
-	for id, r := range g.rows {
-		switch {
-		case now.Sub(r.at) > rowLife:
-			delete(g.rows, id)
-		case (r.Place == g.Place) == here:
-			r.Age = now.Sub(r.at).Milliseconds()
-			m.Rows = append(m.Rows, r.DaemonRow)
-		}
-	}
-	return m
-}
+// byPlace says that links are kept by place.
+func (v *View) byPlace() bool { return v != nil && v.ByPlace }
 
-// passRows passes on rows between places while this daemon is a delegate.
-func (g *Gateway) passRows(ctx context.Context) error {
-	ticker := time.NewTicker(rowsEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-		if v := g.view.Load(); v == nil || !v.ByPlace || !v.Delegate {
-			continue
-		}
-		now := time.Now()
-		s := g.status(now, false)
-		g.noteRow(row{DaemonRow: rowFrom(g.hub.Self, s), at: now})
-		here, elsewhere := g.rowsOf(now, true), g.rowsOf(now, false)
-		for _, p := range g.hub.Peers() {
-			m := here
-			if p.Place == g.Place {
-				m = elsewhere
-			}
-			if len(m.Rows) == 0 {
-				continue
-			}
-			if err := peer.Send(g.hub, p.Daemon, message.KindRows, m); err != nil {
-				g.Log.V(1).Info("rows not sent", "Peer", p.Daemon, "Error", err.Error())
-			}
-		}
-	}
-}
-
-// rowFrom returns the part of a status that matters in other places.
-func rowFrom(from message.Hello, s message.Status) message.DaemonRow {
-	return message.DaemonRow{
-		Daemon: from.Daemon, Place: from.Place, Start: from.Start, Used: s.Used, Windows: s.Windows, Demands: s.Demands,
-	}
-}
-
-// hearRows takes the rows of other places.
-func (g *Gateway) hearRows(now time.Time, m message.Rows) {
-	for _, r := range m.Rows {
-		at := now.Add(-time.Duration(r.Age) * time.Millisecond)
-		if r.Place == g.Place || !g.noteRow(row{DaemonRow: r, at: at}) {
-			continue
-		}
-		g.mergeRow(at, r)
-	}
-}
-
-// mergeRow takes the sums of one daemon.
-func (g *Gateway) mergeRow(at time.Time, r message.DaemonRow) {
-	used := make(map[string]float64, len(r.Used))
-	for _, u := range r.Used {
-		used[u.Organisation] = u.Amount
-	}
-	g.quotaMu.Lock()
-	g.quotas.Merge(at, r.Daemon, r.Start, used)
-	g.quotaMu.Unlock()
-	g.demand.heard(at, r.Daemon, r.Demands)
-	g.countMu.Lock()
-	defer g.countMu.Unlock()
-	for _, w := range r.Windows {
-		g.counts.Merge(accounting.Count{
-			Daemon: w.Daemon, Start: w.Start, Window: accounting.Window(w.Window), Organisation: w.Organisation, Requests: w.Requests,
-		})
-	}
+// links says whether the topology has a link between a daemon in a place, whose view
+// this is, and a peer.
+func (v *View) links(place string, p message.Hello) bool {
+	return !v.byPlace() || p.Place == place || v.Delegate && v.Delegates[p.Daemon]
 }
--- a/internal/gateway/topology_test.go
+++ b/internal/gateway/topology_test.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"testing"
 	"time"
-
-	"apricotbridge/internal/message"
 )
 
 // fleetOf returns daemons in places a, b, c and so on, with as many each.
@@ -25,14 +23,14 @@
 func TestTopology(t *testing.T) {
 	small := fleetOf(3, 3)
 	for _, d := range small {
-		if got := planTopology(d, small); got.ByPlace || !got.Delegate || len(got.Targets) != len(small)-1 {
+		if got := planTopology(d, small, meshMax); got.ByPlace || !got.Delegate || len(got.Targets) != len(small)-1 {
 			t.Errorf("%s of 9 daemons: %+v", d.ID, got)
 		}
 	}
 	large := fleetOf(6, 14)
 	delegates := map[string]int{}
 	for _, d := range large {
-		got := planTopology(d, large)
+		got := planTopology(d, large, meshMax)
 		inPlace, elsewhere := 0, 0
 		for _, target := range got.Targets {
 			if target.ID[:1] == d.Place {
@@ -61,25 +59,73 @@
 	}
 }
 
-// TestRows guards against rows that are passed on for ever, that go back to older
-// values, or that come back to the place they are from.
-func TestRows(t *testing.T) {
-	g := &Gateway{Place: "a", rows: map[string]row{}}
-	now := time.Unix(1_700_000_000, 0)
-	rowOf := func(id, place string, at time.Time) row {
-		return row{DaemonRow: message.DaemonRow{Daemon: id, Place: place}, at: at}
+// placed starts daemons in three places with links by place, and waits until each
+// knows those of its place and the delegates know each other.
+func placed(w *world) map[string]*node {
+	const each = 3
+	nodes := map[string]*node{}
+	for _, place := range []string{"a", "b", "c"} {
+		for i := range each {
+			id := fmt.Sprintf("%s-%d", place, i)
+			nodes[id] = w.startIn(id, place, each)
+		}
 	}
-	if !g.noteRow(rowOf("a-1", "a", now)) || !g.noteRow(rowOf("b-1", "b", now)) {
-		t.Error("news was not taken")
+	for id, n := range nodes {
+		await(w.t, id+" is ready and linked", func() bool {
+			v := n.view.Load()
+			if !n.Ready() || !v.ByPlace || len(v.Daemons) != 3*each {
+				return false
+			}
+			alive := 0
+			for _, d := range v.Daemons {
+				if d.Alive {
+					alive++
+				}
+			}
+			if v.Delegate {
+				return alive == each+2*delegateCount
+			}
+			return alive == each
+		})
 	}
-	if g.noteRow(rowOf("b-1", "b", now.Add(-time.Second))) || g.noteRow(rowOf("b-1", "b", now)) {
-		t.Error("an older row was taken")
+	return nodes
+}
+
+// TestPlacesHearOfTheStore guards against places that pay for reads of the store each,
+// and against one that misses a change when its delegates have died.
+func TestPlacesHearOfTheStore(t *testing.T) {
+	w := newWorld(t)
+	s := w.server("s1", "plain", signed("ok"))
+	nodes := placed(w)
+	w.store.mu.Lock()
+	w.store.reads = 0
+	w.store.mu.Unlock()
+	time.Sleep(3 * time.Second)
+	w.store.mu.Lock()
+	reads := w.store.reads
+	w.store.mu.Unlock()
+	// Two reads each 0.7 s, and half as many again for rounds that overlap.
+	if most := 15; reads > most {
+		t.Errorf("%d reads in 3 s by 9 daemons in 3 places, want at most %d", reads, most)
 	}
-	here, elsewhere := g.rowsOf(now.Add(time.Second), true), g.rowsOf(now.Add(time.Second), false)
-	if len(here.Rows) != 1 || here.Rows[0].Daemon != "a-1" || len(elsewhere.Rows) != 1 || elsewhere.Rows[0].Age != 1000 {
-		t.Errorf("rows %+v and %+v", here, elsewhere)
+	nodes["b-0"].cancel()
+	nodes["b-1"].cancel()
+	w.conf.Version = 7
+	w.configure()
+	w.register(s, "plain", true)
+	changed := time.Now()
+	for id, n := range nodes {
+		if id == "b-0" || id == "b-1" {
+			continue
+		}
+		await(t, id+" knows both changes", func() bool {
+			v := n.view.Load()
+			m := v.Members["s1"]
+			return v.Configuration().Version == 7 && !m.Accepting()
+		})
 	}
-	if n := len(g.rowsOf(now.Add(rowLife+time.Millisecond), false).Rows); n != 0 {
-		t.Errorf("%d rows are passed on after their time", n)
+	// A change has to be in force within the default of Bounds.Apply.
+	if took := time.Since(changed); took > defaultApply {
+		t.Errorf("changes were known after %v, bound %v", took, defaultApply)
 	}
 }
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -11,7 +11,7 @@
 
 // Version is the protocol version in Hello. It rises when an older daemon could
 // not read a message.
-const Version = 1
+const Version = 2
 
 // MaxBytes bounds one encoded message. The largest is a Forward or a Handover
 // with a 4 MB body and the text generated so far.
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -44,7 +44,8 @@
 	Start int64 `json:"Start"`
 }
 
-// DaemonRow is the part of a daemon's Status that matters in other places.
+// DaemonRow is what a daemon tells of itself for sums over all daemons. Lists by
+// organisation end with the last value that is not 0.
 type DaemonRow struct {
 	// Milliseconds since the daemon told this.
 	Age int64 `json:"Age"`
@@ -61,11 +62,12 @@
 	// Start number of the daemon.
 	Start int64 `json:"Start"`
 
-	// What the daemon has admitted of each quota.
-	Used []QuotaUse `json:"Used,omitempty,omitzero"`
+	// What the daemon has admitted of the quota of each organisation, in its unit,
+	// rounded up.
+	Used []int64 `json:"Used,omitempty,omitzero"`
 
 	// Requests that began to run in the latest windows.
-	Windows []WindowCount `json:"Windows,omitempty,omitzero"`
+	Windows []WindowCounts `json:"Windows,omitempty,omitzero"`
 }
 
 // Digest summarises the shared state of the sender, so that a peer sends what is
@@ -321,18 +323,12 @@
 	Suspects []Suspect `json:"Suspects"`
 }
 
-// QuotaUse is what one daemon has admitted for one organisation since its start.
-type QuotaUse struct {
-	// Sum, in the unit of the quota.
-	Amount float64 `json:"Amount"`
-
-	// Name of the organisation.
-	Organisation string `json:"Organisation"`
-}
-
-// Rows carries what the daemons of one place told of themselves to the daemons of
-// other places.
+// Rows carries what daemons told of themselves. Lists that are kept by
+// organisation stand in the order of Organisations, so that a name is sent once.
 type Rows struct {
+	// Names of the organisations.
+	Organisations []string `json:"Organisations"`
+
 	// One row for each daemon.
 	Rows []DaemonRow `json:"Rows"`
 }
@@ -353,17 +349,18 @@
 	Tokens []int `json:"Tokens"`
 }
 
-// ServerLoad is the load that one daemon puts on one backend server.
-type ServerLoad struct {
+// ServerLoads is the load that one daemon puts on backend servers. The lists are
+// parallel.
+type ServerLoads struct {
 	// Prompt tokens of requests without a first token that are not expected in the
 	// cache.
-	Pending int `json:"Pending"`
+	Pending []int `json:"Pending"`
 
 	// Requests sent and not ended.
-	Running int `json:"Running"`
+	Running []int `json:"Running"`
 
-	// Id of the server.
-	Server string `json:"Server"`
+	// Ids of the servers.
+	Servers []string `json:"Servers"`
 }
 
 // ServiceDemand is the rate at which callers ask for the work of one service at
@@ -385,9 +382,6 @@
 	// Time of day of the sender in Unix milliseconds.
 	Clock int64 `json:"Clock"`
 
-	// What callers ask of the services at the sender.
-	Demands []ServiceDemand `json:"Demands,omitempty,omitzero"`
-
 	// Whether the sender is leaving.
 	Draining bool `json:"Draining"`
 
@@ -395,19 +389,17 @@
 	Duty bool `json:"Duty,omitempty,omitzero"`
 
 	// Backend servers at which the sender has requests; all others have none.
-	Loads []ServerLoad `json:"Loads,omitempty,omitzero"`
+	Loads *ServerLoads `json:"Loads,omitempty,omitzero"`
+
+	// Row of the sender; absent between the delegates of places, who pass rows on in
+	// messages of their own.
+	Own *Rows `json:"Own,omitempty,omitzero"`
 
 	// Configuration version in force.
 	Revision int64 `json:"Revision"`
 
 	// Prompts sent since the last message.
 	Sent []SentPrompt `json:"Sent,omitempty,omitzero"`
-
-	// What the sender has admitted of each quota.
-	Used []QuotaUse `json:"Used,omitempty,omitzero"`
-
-	// Requests that began to run in the latest windows, as the sender knows them.
-	Windows []WindowCount `json:"Windows,omitempty,omitzero"`
 }
 
 // StoreEntry is an entry of the store.
@@ -485,20 +477,11 @@
 const UsageScopeRegion UsageScope = "Region"
 const UsageScopeSubtree UsageScope = "Subtree"
 
-// WindowCount counts the requests that began to run in one window of wall-clock
-// time.
-type WindowCount struct {
-	// Daemon that counted.
-	Daemon string `json:"Daemon"`
-
-	// Name of the organisation.
-	Organisation string `json:"Organisation"`
-
-	// Requests so far.
-	Requests int64 `json:"Requests"`
-
-	// Start number of that daemon.
-	Start int64 `json:"Start"`
+// WindowCounts counts the requests that began to run at one daemon in one window
+// of wall-clock time.
+type WindowCounts struct {
+	// Requests so far, by organisation.
+	Requests []int64 `json:"Requests"`
 
 	// Number of the window since the Unix epoch.
 	Window int64 `json:"Window"`
