--- a/internal/admission/preempt.go
+++ b/internal/admission/preempt.go
@@ -114,6 +114,9 @@
 // Requested adds the share of one request.
 func (b *RetryBudget) Requested() { b.spent = max(0, b.spent-b.Share) }
 
+// Left is the number of retries that may be sent now.
+func (b *RetryBudget) Left() float64 { return max(b.Burst-b.spent, 0) }
+
 // Take reports whether a retry may be sent, and counts it.
 func (b *RetryBudget) Take() bool {
 	if b.spent > b.Burst-1 {
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -155,14 +155,16 @@
 	Counts   Counts
 	Queue    admission.Stats
 	Parked   int
-	InFlight map[string]int
+	// RetriesLeft is what remains of the retry budget.
+	RetriesLeft float64
+	InFlight    map[string]int
 }
 
 // Status returns the present state.
 func (d *Dispatcher) Status(now time.Time) Status {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	s := Status{Counts: d.counts, Queue: d.Queue.Stats(now), Parked: len(d.parked), InFlight: map[string]int{}}
+	s := Status{Counts: d.counts, Queue: d.Queue.Stats(now), Parked: len(d.parked), RetriesLeft: d.retries.Left(), InFlight: map[string]int{}}
 	for _, w := range d.works {
 		if w.running {
 			s.InFlight[w.server.ID]++
--- a/internal/gateway/measures.go
+++ b/internal/gateway/measures.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -64,14 +66,33 @@
 			}
 		}
 	})
+	value := func(key string, v any) { fmt.Fprintf(w, "%s %v\n", name(key), v) }
 	opened, reused := g.Backends.Counts()
-	fmt.Fprintf(w, "%s %d\n%s %d\n", name("backend.connections.opened"), opened, name("backend.connections.reused"), reused)
-	fmt.Fprintf(w, "%s %d\n", name("requests.inflight"), g.inFlight.Load())
-	status := g.dispatcher.Status(time.Now())
-	fmt.Fprintf(w, "%s %d\n%s %d\n%s %d\n%s %d\n", name("dispatch.granted"), status.Counts.Granted,
-		name("dispatch.retried"), status.Counts.Retried, name("dispatch.refused"), status.Counts.Refused,
-		name("dispatch.parked"), status.Parked)
+	value("backend.connections.opened", opened)
+	value("backend.connections.reused", reused)
+	value("requests.inflight", g.inFlight.Load())
+	now := time.Now()
+	status := g.dispatcher.Status(now)
+	value("dispatch.granted", status.Counts.Granted)
+	value("dispatch.retried", status.Counts.Retried)
+	value("dispatch.refused", status.Counts.Refused)
+	value("dispatch.parked", status.Parked)
+	value("dispatch.retries.left", status.RetriesLeft)
 	if c := g.view.Load().Configuration(); c != nil {
-		fmt.Fprintf(w, "%s %d\n", name("configuration.version"), c.Version)
+		value("configuration.version", c.Version)
+	}
+	if fresh := g.fresh.Load(); fresh != nil {
+		value("store.age.milliseconds", now.Sub(*fresh).Milliseconds())
+	}
+	held := 0
+	if g.holding.Load() {
+		held = 1
+	}
+	value("duty.held", held)
+	g.quotaMu.Lock()
+	used := g.quotas.Used()
+	g.quotaMu.Unlock()
+	for _, organisation := range slices.Sorted(maps.Keys(used)) {
+		fmt.Fprintf(w, "%s{organisation=%q} %g\n", name("quota.used"), organisation, used[organisation])
 	}
 }
