scaling: keep the servers that have yet to register; grow the reserve with the root of demand

Without demand no order is given for 4 s, and then none for fewer servers than were there.

Each busy server had 11 cheap ones at any size of the fleet, up to the limit of 48 a place. Above 4 busy servers the reserve now grows with the root of the demand. Orders that differ by less than a tenth are not repeated, servers of the last order taken count as coming when a later one fails, and the average of demand begins with its first value.

--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -152,9 +152,9 @@
 
 // Status is a snapshot for metrics and operators.
 type Status struct {
-	Counts   Counts
-	Queue    admission.Stats
-	Parked   int
+	Counts Counts
+	Queue  admission.Stats
+	Parked int
 	// RetriesLeft is what remains of the retry budget.
 	RetriesLeft float64
 	InFlight    map[string]int
--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -36,6 +36,8 @@
 	prompt, output float64
 	at             time.Time
 	rate           scaling.Demand
+	// known says that rate holds an average.
+	known bool
 }
 
 type peerDemand struct {
@@ -75,6 +77,10 @@
 		return
 	}
 	weight := min(span/demandLife.Seconds(), 1)
+	if !s.known {
+		// The average begins with what came first, rather than to rise from 0.
+		weight, s.known = 1, true
+	}
 	s.rate.PromptTokens += weight * (s.prompt/span - s.rate.PromptTokens)
 	s.rate.OutputTokens += weight * (s.output/span - s.rate.OutputTokens)
 	s.prompt, s.output, s.at = 0, 0, now
--- a/internal/gateway/duty.go
+++ b/internal/gateway/duty.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -36,6 +37,9 @@
 	orderEvery = 500 * time.Millisecond
 	// orderRetry is the wait after an order that failed.
 	orderRetry = time.Second
+	// orderStep is the part by which the number of servers has to differ from that of
+	// the order given before.
+	orderStep = 0.1
 	// orderAgain is how long beyond the boot time an order is given to bring its
 	// servers before it is repeated. An order does not replace servers that left.
 	orderAgain = 1500 * time.Millisecond
@@ -111,6 +115,9 @@
 	count int
 	at    time.Time
 	err   error
+	// taken and takenAt are of the last order without an error.
+	taken   int
+	takenAt time.Time
 }
 
 // runDuty competes for the duty and does it while it is held.
@@ -329,11 +336,11 @@
 func (s *dutyState) plan(now time.Time, v *View, service *Service) []ServerOrder {
 	p := s.plans[service.Name]
 	if p == nil {
-		p = &scaling.Plan{Options: scaling.Options{Least: max(leastServers, s.accepting(v, service))}}
+		p = &scaling.Plan{}
 		s.plans[service.Name] = p
 	}
 	p.Options = scaling.Options{
-		Least: p.Options.Least,
+		Least: leastServers,
 		Min:   service.Scaling.Min, Max: service.Scaling.Max, ReclaimablePrice: service.Scaling.ReclaimablePrice,
 		PromptRate: prefillRate, OutputRate: float64(service.Engine.Slots) / stepTime.Seconds(),
 	}
@@ -357,23 +364,14 @@
 			Steady: s.ready(v, service, name, false), Reclaimable: s.ready(v, service, name, true),
 		}
 		last := s.ordered[orderKey{service.Name, name, true}]
-		if last.err == nil && now.Sub(last.at) < service.Scaling.Boot+orderAgain {
-			p.Coming = max(last.count-p.Reclaimable, 0)
+		if now.Sub(last.takenAt) < service.Scaling.Boot+orderAgain {
+			p.Coming = max(last.taken-p.Reclaimable, 0)
 		}
 		list = append(list, p)
 	}
 	return list
 }
 
-// accepting counts the servers of a service that take work.
-func (s *dutyState) accepting(v *View, service *Service) int {
-	n := 0
-	for place := range service.Scaling.Prices {
-		n += s.ready(v, service, place, true) + s.ready(v, service, place, false)
-	}
-	return n
-}
-
 // ready counts the servers of a kind in a place that take work.
 func (s *dutyState) ready(v *View, service *Service, place string, reclaimable bool) int {
 	n := 0
@@ -395,7 +393,7 @@
 	case !given:
 	case last.err != nil && age < orderRetry:
 		return
-	case last.err == nil && last.count == o.Count && (ready >= o.Count || age < service.Scaling.Boot+orderAgain):
+	case last.err == nil && similar(last.count, o.Count) && (ready >= last.count || age < service.Scaling.Boot+orderAgain):
 		return
 	}
 	if !s.duty.MayOrder(bootTime()) {
@@ -404,11 +402,20 @@
 	ctx, cancel := context.WithTimeout(ctx, dutyCall)
 	defer cancel()
 	err := s.g.Orderer.Order(ctx, s.holder(), o)
-	s.ordered[key] = orderState{count: o.Count, at: now, err: err}
+	last.count, last.at, last.err = o.Count, now, err
 	outcome := "taken"
 	if err != nil {
 		outcome = err.Error()
+	} else {
+		last.taken, last.takenAt = o.Count, now
 	}
+	s.ordered[key] = last
 	s.g.Log.Info("servers ordered", "Service", o.Service, "ServerPlace", o.Place, "Reclaimable", o.Reclaimable,
 		"Count", o.Count, "Ready", ready, "Fence", s.duty.Fence(), "Outcome", outcome)
 }
+
+// similar says that an order need not be changed for another number of servers. Each
+// order is paid for, and demand that is measured varies by some percent.
+func similar(ordered, wanted int) bool {
+	return ordered == wanted || ordered > 0 && wanted > 0 && math.Abs(float64(wanted-ordered)) < orderStep*float64(ordered)
+}
--- a/internal/scaling/scaling.go
+++ b/internal/scaling/scaling.go
@@ -35,7 +35,8 @@
 type Options struct {
 	// Min and Max bound the servers in each place, both kinds together.
 	Min, Max int
-	// Least is how many servers to provide for before demand is known.
+	// Least is how many servers to provide for before demand is known, unless more are
+	// there.
 	Least int
 	// ReclaimablePrice is the price of a reclaimable server as a part of that of a
 	// steady one; 0 means that there are none.
@@ -52,17 +53,45 @@
 	Reclaimable int
 }
 
+// staffing says how many servers demand needs. A step that reads a long prompt takes ten
+// times one that does not, so that few servers must be used little. In a large fleet the
+// load of the servers varies less, and the reserve grows with the root of the demand
+// (square-root staffing).
+type staffing struct {
+	// use is the part of the time of the servers that demand may take.
+	use float64
+	// reserve is how many servers to have beyond those that demand keeps busy, for the
+	// root of these.
+	reserve float64
+}
+
+var (
+	// cheap is for reclaimable servers. Both terms are equal at 4 busy servers.
+	cheap = staffing{use: 0.09, reserve: 18}
+	// dear is for steady servers, of which each costs several times as much.
+	dear = staffing{use: 0.4, reserve: 3}
+)
+
+// servers returns how many servers a demand needs, in busy servers.
+func (s staffing) servers(busy float64) float64 {
+	return min(busy/s.use, busy+s.reserve*math.Sqrt(busy))
+}
+
+// busy returns the demand for which a number of servers is right.
+func (s staffing) busy(servers float64) float64 {
+	// The positive root of busy + reserve*sqrt(busy) = servers.
+	root := (math.Sqrt(s.reserve*s.reserve+4*servers) - s.reserve) / 2
+	return max(servers*s.use, root*root)
+}
+
 const (
-	// reclaimableUse is the part of the time of cheap servers that demand may take.
-	// A step that reads a long prompt takes ten times one that does not, so that even
-	// little of it makes the streams that run beside it slow.
-	reclaimableUse = 0.09
-	// steadyUse is that part for steady servers, of which each costs several times as
-	// much.
-	steadyUse = 0.4
 	// shrinkAfter is how long demand has to be below before servers are given up.
 	// Starting one again takes its boot time.
 	shrinkAfter = 10 * time.Second
+	// settleTime is how long the servers that are there are counted before the first
+	// orders without demand. They register within 3 s (seedLagS of letter 2), and an
+	// order for fewer ends the others.
+	settleTime = 4 * time.Second
 )
 
 // Busy returns how many servers the demand keeps busy all the time.
@@ -84,25 +113,39 @@
 	// when demand is below it.
 	busy    float64
 	lowered time.Time
-	// started is when demand was first seen.
-	started time.Time
+	// first is when orders were first asked for, and started when demand was first seen.
+	first, started time.Time
+	// present is the most servers that were there before that.
+	present int
 }
 
-// Orders returns the servers to have in each place.
+// Orders returns the servers to have in each place, or none while it is not known
+// which are there.
 func (p *Plan) Orders(now time.Time, d Demand, places []Place) []Order {
 	busy := Busy(d, p.Options)
-	if busy > 0 && p.started.IsZero() {
-		p.started = now
+	if p.first.IsZero() {
+		p.first = now
 	}
-	if p.started.IsZero() || now.Sub(p.started) < shrinkAfter {
-		busy = max(busy, float64(p.Options.Least)*reclaimableUse)
+	if p.started.IsZero() {
+		there := 0
+		for _, place := range places {
+			there += place.Steady + place.Reclaimable
+		}
+		p.present = max(p.present, there)
+		switch {
+		case busy > 0:
+			p.started = now
+		case now.Sub(p.first) < settleTime:
+			return nil
+		}
 	}
 	switch {
-	case busy >= p.busy:
-		p.busy, p.lowered = busy, now
-	case now.Sub(p.lowered) >= shrinkAfter:
+	case busy >= p.busy, now.Sub(p.lowered) >= shrinkAfter:
 		p.busy, p.lowered = busy, now
 	}
+	if p.started.IsZero() || now.Sub(p.started) < shrinkAfter {
+		p.busy = max(p.busy, cheap.busy(float64(max(p.Options.Least, p.present))))
+	}
 	places = slices.Clone(places)
 	slices.SortFunc(places, func(a, b Place) int {
 		return cmp.Or(cmp.Compare(a.Price, b.Price), cmp.Compare(a.Name, b.Name))
@@ -113,7 +156,7 @@
 		orders[i].Place = place.Name
 	}
 	// What remains stands when the place with the most of them is reclaimed.
-	each := int(math.Ceil(p.busy / reclaimableUse / float64(max(len(places)-1, 1))))
+	each := int(math.Ceil(cheap.servers(p.busy) / float64(max(len(places)-1, 1))))
 	spread(orders, p.steady(places), o.Max)
 	if o.ReclaimablePrice > 0 {
 		for i := range orders {
@@ -132,7 +175,7 @@
 // and leave less time than a start takes, so that the servers that remain after
 // one more reclaim have to bear the demand.
 func (p *Plan) steady(places []Place) int {
-	needed := int(math.Ceil(p.busy / steadyUse))
+	needed := int(math.Ceil(dear.servers(p.busy)))
 	if p.Options.ReclaimablePrice <= 0 {
 		return needed
 	}
--- a/internal/scaling/scaling_test.go
+++ b/internal/scaling/scaling_test.go
@@ -1,6 +1,7 @@
 package scaling
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -204,3 +205,54 @@
 		}
 	}
 }
+
+// TestLateRegistrations guards against orders that end servers which have not registered
+// yet: 86 daemons that saw 6 of 90 servers ordered 30 in all, and 824 streams of the first
+// seconds broke off.
+func TestLateRegistrations(t *testing.T) {
+	p := &Plan{Options: options}
+	p.Options.Max, p.Options.Least = 48, 24
+	places := make([]Place, 6)
+	for i := range places {
+		places[i] = Place{Name: string(rune('a' + i)), Price: 1}
+	}
+	const each = 15
+	for second := 0.0; second < 10; second += 0.5 {
+		for i := range places {
+			places[i].Steady = min(int(each*second/3), each)
+		}
+		orders := p.Orders(at(second), Demand{}, places)
+		if steady, cheap := sum(orders); len(orders) > 0 && steady+cheap < each*len(places) {
+			t.Errorf("second %.1f: %d steady and %d cheap servers where %d are", second, steady, cheap, each*len(places))
+		}
+	}
+	if len(p.Orders(at(10), Demand{}, places)) == 0 {
+		t.Error("no orders at all")
+	}
+}
+
+// TestLargeFleet guards against a reserve that grows with the demand as in a small fleet,
+// where it costs more than it serves, and against one that a reclaimed place uses up.
+func TestLargeFleet(t *testing.T) {
+	const busy = 49.0
+	small, large := cheap.servers(3)/3, cheap.servers(busy)/busy
+	if large > small/2 {
+		t.Errorf("%.1f servers for a busy one, %.1f in a small fleet", large, small)
+	}
+	for _, s := range []staffing{cheap, dear} {
+		for n := 1.0; n < 300; n++ {
+			if got := s.servers(s.busy(n)); math.Abs(got-n) > 1e-6*n {
+				t.Errorf("%v servers for the demand that %v are right for", got, n)
+			}
+		}
+	}
+	p := &Plan{Options: Options{Min: 1, Max: 48, ReclaimablePrice: 0.15, PromptRate: 50_000}}
+	places := make([]Place, 6)
+	for i := range places {
+		places[i] = Place{Name: string(rune('a' + i)), Price: 1, Reclaimable: 30}
+	}
+	steady, reclaimable := sum(p.Orders(at(0), demandOf(busy), places))
+	if left := reclaimable * 5 / 6; steady > 0 || float64(left) < cheap.servers(busy)*0.99 {
+		t.Errorf("%d steady and %d cheap servers, of which %d remain without a place, want %.0f", steady, reclaimable, left, cheap.servers(busy))
+	}
+}
