logs, admission: log requests whole above a rate, and the queue's state in refusals

The detail of a refusal names the requests that wait and run and the time to a first token, which decided it.

--- a/cmd/apricotbridge-gateway/main.go
+++ b/cmd/apricotbridge-gateway/main.go
@@ -55,7 +55,7 @@
 			w := logs.NewWriter(os.Stdout)
 			defer w.Close()
 			signal.Ignore(syscall.SIGHUP)
-			return platform.Run(c.Context(), s, w.Logger(0))
+			return platform.Run(c.Context(), s, w.Sampled(0))
 		},
 	}
 }
--- a/internal/admission/estimate.go
+++ b/internal/admission/estimate.go
@@ -171,7 +171,11 @@
 func (q *Queue) refuse(p *pool, now time.Time, cost float64, kind problem.Kind, reason string, base time.Duration) Decision {
 	q.refused[kind]++
 	p.refused.add(now, cost)
-	return Decision{Kind: kind, Reason: reason, RetryAfter: q.spread(p, now, base)}
+	return Decision{Kind: kind, Reason: reason, RetryAfter: q.spread(p, now, base), Pool: p.state()}
+}
+
+func (p *pool) state() PoolState {
+	return PoolState{Waiting: p.queued, Running: p.running, FirstToken: p.firstToken.duration()}
 }
 
 // spread delays a caller by base and then by a random part of the time that
--- a/internal/admission/flow.go
+++ b/internal/admission/flow.go
@@ -192,7 +192,7 @@
 }
 
 func (q *Queue) drop(it *item, kind problem.Kind, reason string, after time.Duration) {
-	q.dropped = append(q.dropped, Dropped{Request: it.req, Kind: kind, Reason: reason, RetryAfter: after})
+	q.dropped = append(q.dropped, Dropped{Request: it.req, Kind: kind, Reason: reason, RetryAfter: after, Pool: it.pool.state()})
 	q.refused[kind]++
 	q.remove(it)
 }
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -9,6 +9,7 @@
 package admission
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -87,6 +88,21 @@
 	RetryAfter time.Duration
 	// Wait is the estimated time to the start of service.
 	Wait time.Duration
+	// Pool is what a refusal was decided by.
+	Pool PoolState
+}
+
+// PoolState is the state of a service's queue at one moment.
+type PoolState struct {
+	// Waiting and Running are the requests of all organisations and ranks.
+	Waiting, Running int
+	// FirstToken is the mean time from the start of service to the first token.
+	FirstToken time.Duration
+}
+
+// String returns the state for the detail of a problem.
+func (s PoolState) String() string {
+	return fmt.Sprintf("%d waiting, %d running, first token after %v", s.Waiting, s.Running, s.FirstToken.Round(time.Millisecond))
 }
 
 // Capacity says which services have a free slot, in the order of preference
@@ -116,6 +132,8 @@
 	Kind       problem.Kind
 	Reason     string
 	RetryAfter time.Duration
+	// Pool is what the refusal was decided by.
+	Pool PoolState
 }
 
 // Queue holds the waiting requests of one daemon. Exported fields are set
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -122,6 +122,9 @@
 	if accepted < 18 || accepted > 21 {
 		t.Errorf("accepted %d requests", accepted)
 	}
+	if d := q.Offer(start, request("late", "a", "urgent")); d.Pool.Waiting != accepted || d.Pool.Running != 4 || d.Pool.FirstToken <= 0 {
+		t.Errorf("a refusal does not tell what it was decided by: %+v", d.Pool)
+	}
 	if d := q.Offer(start, request("b", "b", "urgent")); !d.Queued {
 		t.Errorf("another organisation waits for its own work only, got %+v", d)
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -150,7 +150,7 @@
 	}
 	if !decision.Queued {
 		d.counts.Refused++
-		p := problem.New(decision.Kind, "%s", decision.Reason)
+		p := problem.New(decision.Kind, "%s (%v)", decision.Reason, decision.Pool)
 		p.RetryAfter = decision.RetryAfter
 		return p
 	}
@@ -455,7 +455,7 @@
 		}
 		delete(d.works, dropped.Request.ID)
 		d.counts.Refused++
-		p := problem.New(dropped.Kind, "%s", dropped.Reason)
+		p := problem.New(dropped.Kind, "%s (%v)", dropped.Reason, dropped.Pool)
 		p.RetryAfter = dropped.RetryAfter
 		w.grants <- Grant{Problem: w.refusal(p)}
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -10,6 +10,7 @@
 	"apricotbridge/internal/admission"
 	"apricotbridge/internal/backend"
 	"apricotbridge/internal/dispatch"
+	"apricotbridge/internal/logs"
 	"apricotbridge/internal/route"
 	"apricotbridge/internal/routing"
 	"apricotbridge/pkg/problem"
@@ -315,7 +316,7 @@
 	}
 	s.finish()
 	s.write(a)
-	s.logEnd("Answered", a.status, server.ID)
+	s.logEnd(logs.Answered, a.status, server.ID)
 	return result{done: true}
 }
 
@@ -343,12 +344,12 @@
 
 func (s *session) logRouting(grant dispatch.Grant) {
 	d, t := grant.Decision, grant.Decision.Terms
-	s.g.Log.Info("routing decision", "RequestID", s.call.ID, "Attempt", s.sent, "Server", grant.Server.ID,
+	s.g.Log.Info("routing decision", logs.RequestID, s.call.ID, "Attempt", s.sent, "Server", grant.Server.ID,
 		"ServerPlace", grant.Server.Place, "Reason", d.Reason, "Waited", time.Since(s.received).Milliseconds(),
 		"Score", d.Score, "Wait", t.Wait, "Prefill", t.Prefill, "CachedTokens", d.CachedTokens, "PromptTokens", s.call.PromptTokens)
 }
 
 func (s *session) logAttempt(server routing.Server, ending dispatch.Ending, err error) {
-	s.g.Log.Info("attempt ended early", "RequestID", s.call.ID, "Attempt", s.sent, "Server", server.ID,
+	s.g.Log.Info(logs.AttemptEnded, logs.RequestID, s.call.ID, "Attempt", s.sent, "Server", server.ID,
 		"Ending", ending.String(), "Error", err.Error(), "Took", time.Since(s.received).Milliseconds())
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -12,6 +12,7 @@
 
 	"apricotbridge/internal/backend"
 	"apricotbridge/internal/dispatch"
+	"apricotbridge/internal/logs"
 	"apricotbridge/internal/route"
 	"apricotbridge/internal/routing"
 )
@@ -203,5 +204,5 @@
 	}
 	res.Close() // Before the context of the attempt ends, which closes the connection.
 	s.finish()
-	s.logEnd("Answered", res.Status, server.ID)
+	s.logEnd(logs.Answered, res.Status, server.ID)
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -15,6 +15,7 @@
 
 	"apricotbridge/internal/admission"
 	"apricotbridge/internal/dispatch"
+	"apricotbridge/internal/logs"
 	"apricotbridge/internal/quarantine"
 	"apricotbridge/internal/route"
 	"apricotbridge/internal/routing"
@@ -344,8 +345,8 @@
 	}
 	took := time.Since(s.received)
 	s.g.measures.ended(outcome, took)
-	s.g.Log.Info("request ended", "RequestID", s.call.ID, "Route", name, "Service", s.service, "Organisation", s.organisation(),
-		"Rank", s.rank, "Allowed", s.deadline.Sub(s.received).Milliseconds(), "Outcome", outcome, "Status", status, "Detail", detail, "Took", took.Milliseconds(), "Sent", s.sent,
+	s.g.Log.Info(logs.RequestEnded, logs.RequestID, s.call.ID, "Route", name, "Service", s.service, "Organisation", s.organisation(),
+		"Rank", s.rank, "Allowed", s.deadline.Sub(s.received).Milliseconds(), logs.Outcome, outcome, "Status", status, "Detail", detail, "Took", took.Milliseconds(), "Sent", s.sent,
 		"Ran", s.ran, "Events", s.stream.events)
 }
 
