backend: send orders on connections that were idle for a second at most

A server may drop an idle connection without notice, and resets what is sent on it next. An order that is reset may have run and ends as unknown. TestDroppedWithoutNotice guards it; other requests use the connection as before.

--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -253,6 +253,34 @@
 	}
 }
 
+// TestDroppedWithoutNotice guards against an order on a connection that its server may
+// have dropped without notice, where what is sent next is reset, and against a new
+// connection for each order.
+func TestDroppedWithoutNotice(t *testing.T) {
+	s := serve(t, func(c net.Conn, read func() string) {
+		for id := read(); id != ""; id = read() {
+			fmt.Fprint(c, answer(id, "Keep-Alive: timeout=60\r\n", id))
+		}
+	})
+	p := &Pool{Names: names}
+	defer p.Close()
+	want(t, p, s.address, "1", "1")
+	now := time.Now()
+	for _, c := range []struct {
+		idle time.Duration
+		once bool
+		kept bool
+	}{{2 * onceIdle, true, false}, {onceIdle / 2, true, true}, {2 * onceIdle, false, true}} {
+		conn := p.get(now.Add(c.idle), s.address, c.once)
+		if (conn != nil) != c.kept {
+			t.Errorf("connection kept %v after %v, once %v", conn != nil, c.idle, c.once)
+		}
+		if conn != nil {
+			p.put(conn)
+		}
+	}
+}
+
 // TestEarlyAnswer guards against reusing a connection whose server may still read the
 // body of the request before.
 func TestEarlyAnswer(t *testing.T) {
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -43,6 +43,8 @@
 	Body   []byte
 	// Attempt is the id by which the response is told from others.
 	Attempt string
+	// Once says that the request must not be sent twice.
+	Once bool
 }
 
 // Response is the response to a request. Close must be called.
@@ -76,7 +78,7 @@
 // of the context closes the connection, also while the body is read. The error is
 // ErrNotSent or ErrBroken.
 func (p *Pool) Do(ctx context.Context, now time.Time, address string, q *Request) (*Response, error) {
-	c := p.get(now, address)
+	c := p.get(now, address, q.Once)
 	if c == nil {
 		var err error
 		if c, err = p.dial(ctx, address); err != nil {
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -32,6 +32,10 @@
 	keepAliveCount = 2
 	// readBuffer holds the head of a response and some events of a stream.
 	readBuffer = 4 << 10
+	// onceIdle is how long a connection may have been idle for a request that must not
+	// be sent twice. A server may drop an idle connection without notice and sooner than
+	// it said; what is sent next is reset and may have run.
+	onceIdle = time.Second
 	// idleListMax bounds the idle connections kept to one server.
 	idleListMax = 64
 )
@@ -66,6 +70,8 @@
 	reader  *reader
 	// until is when the connection must not be used any more.
 	until time.Time
+	// idleSince is when its last response was complete.
+	idleSince time.Time
 }
 
 // Counts returns how many connections were opened and how often one was reused.
@@ -75,8 +81,9 @@
 	return p.opened, p.reused
 }
 
-// get returns an idle connection that is sound, or nil.
-func (p *Pool) get(now time.Time, address string) *conn {
+// get returns an idle connection that is sound, or nil. The last one that was used comes
+// first.
+func (p *Pool) get(now time.Time, address string, once bool) *conn {
 	for {
 		p.mu.Lock()
 		list := p.idle[address]
@@ -85,6 +92,10 @@
 			return nil
 		}
 		c := list[len(list)-1]
+		if once && now.Sub(c.idleSince) > onceIdle {
+			p.mu.Unlock()
+			return nil // Others may use it.
+		}
 		list[len(list)-1] = nil
 		p.idle[address] = list[:len(list)-1]
 		p.mu.Unlock()
@@ -100,6 +111,7 @@
 
 // put keeps a connection for the next request.
 func (p *Pool) put(c *conn) {
+	c.idleSince = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.idle == nil {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -234,7 +234,7 @@
 		target = s.r.URL.RequestURI()
 	}
 	return &backend.Request{
-		Method: s.r.Method, Target: target, Host: s.r.Host, Body: s.body, Attempt: s.call.ID,
+		Method: s.r.Method, Target: target, Host: s.r.Host, Body: s.body, Attempt: s.call.ID, Once: s.route.Repeat != route.Always && s.route.Repeat != route.Resume,
 		Header: s.g.Protocol.Encode(passedHeaders(s.r.Header), sending),
 	}
 }
