routing, gateway: give shared heads a home in the region where places tell only themselves

Cause: with links by place each place kept its requests, and read the heads of all for itself.

Now daemons of a region send a head to the same server by hash while it has room, else to a server of the place; the load that each place puts on servers is passed on by its delegates within the region. Sending to another place counts by its price.

Ruled out: telling all prompts between places, for the bytes.

--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -40,6 +40,20 @@
 	d.pump(now)
 }
 
+// PlaceLoads replaces the load that the daemons of another place put on the servers.
+func (d *Dispatcher) PlaceLoads(at time.Time, place string, loads []routing.ServerLoad) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.Router.PlaceLoads(at, place, loads)
+}
+
+// LoadsHere returns the load on the servers from this daemon and its peers.
+func (d *Dispatcher) LoadsHere(now time.Time) []routing.ServerLoad {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.Router.LoadsHere(now)
+}
+
 // PeerSent records a prompt that another daemon sent to a server.
 func (d *Dispatcher) PeerSent(server string, parts []routing.Part, expected int) {
 	d.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -128,9 +128,11 @@
 	counts  *accounting.Book
 	clock   *accounting.Clock
 
-	// rows is what the daemons told of themselves.
-	rowsMu sync.Mutex
-	rows   map[string]row
+	// rows is what the daemons told of themselves, and placeLoads the load of other
+	// places on servers.
+	rowsMu     sync.Mutex
+	rows       map[string]row
+	placeLoads map[string]placeLoads
 
 	sentMu sync.Mutex
 	sent   []message.SentPrompt
@@ -164,7 +166,7 @@
 	g.quotas = quota.NewBook()
 	g.counts, g.clock = accounting.NewBook(), accounting.NewClock()
 	g.demand = newDemand()
-	g.rows = map[string]row{}
+	g.rows, g.placeLoads = map[string]row{}, map[string]placeLoads{}
 	g.drained = make(chan struct{})
 	if g.Metrics == nil {
 		g.Metrics = metrics.NewRegistry()
--- a/internal/gateway/rows.go
+++ b/internal/gateway/rows.go
@@ -166,14 +166,54 @@
 		}
 		now := time.Now()
 		g.noteRow(g.ownRow(now))
-		g.sendRows(encodeRows(now, g.rowsOf(now, true)), func(place string) bool { return place != g.Place })
-		g.sendRows(encodeRows(now, g.rowsOf(now, false)), func(place string) bool { return place == g.Place })
+		here := encodeRows(now, g.rowsOf(now, true))
+		g.sendRows(here, func(p message.Hello) bool { return p.Region != g.Region })
+		here.Loads = []message.PlaceLoads{{Place: g.Place, Loads: encodeLoads(g.dispatcher.LoadsHere(now))}}
+		g.sendRows(here, func(p message.Hello) bool { return p.Region == g.Region && p.Place != g.Place })
+		elsewhere := encodeRows(now, g.rowsOf(now, false))
+		elsewhere.Loads = g.loadsElsewhere(now)
+		g.sendRows(elsewhere, func(p message.Hello) bool { return p.Place == g.Place })
 	}
 }
 
-// sendRows sends rows to the peers of the places that to selects.
-func (g *Gateway) sendRows(m message.Rows, to func(place string) bool) {
-	if len(m.Rows) == 0 {
+// placeLoads is the load that another place put on servers, as of a time.
+type placeLoads struct {
+	at    time.Time
+	loads message.ServerLoads
+}
+
+// loadsElsewhere returns the loads of other places to pass on.
+func (g *Gateway) loadsElsewhere(now time.Time) []message.PlaceLoads {
+	g.rowsMu.Lock()
+	defer g.rowsMu.Unlock()
+	var list []message.PlaceLoads
+	for place, l := range g.placeLoads {
+		if age := now.Sub(l.at); age < rowLife {
+			list = append(list, message.PlaceLoads{Place: place, Age: age.Milliseconds(), Loads: l.loads})
+		}
+	}
+	return list
+}
+
+// hearLoads takes the load of other places on the servers.
+func (g *Gateway) hearLoads(now time.Time, list []message.PlaceLoads) {
+	for _, l := range list {
+		at := now.Add(-time.Duration(l.Age) * time.Millisecond)
+		g.rowsMu.Lock()
+		news := l.Place != g.Place && at.After(g.placeLoads[l.Place].at)
+		if news {
+			g.placeLoads[l.Place] = placeLoads{at: at, loads: l.Loads}
+		}
+		g.rowsMu.Unlock()
+		if news {
+			g.dispatcher.PlaceLoads(at, l.Place, decodeLoads(&l.Loads))
+		}
+	}
+}
+
+// sendRows sends rows to the peers that to selects.
+func (g *Gateway) sendRows(m message.Rows, to func(message.Hello) bool) {
+	if len(m.Rows) == 0 && len(m.Loads) == 0 {
 		return
 	}
 	data, err := message.Encode(message.KindRows, m)
@@ -183,7 +223,7 @@
 	}
 	v := g.view.Load()
 	for _, p := range g.hub.Peers() {
-		if !v.links(g.Place, p) || !to(p.Place) {
+		if !v.links(g.Place, p) || !to(p) {
 			continue
 		}
 		if err := g.hub.Send(p.Daemon, message.KindRows, data); err != nil {
@@ -194,6 +234,7 @@
 
 // hearRows takes the rows of other places.
 func (g *Gateway) hearRows(now time.Time, m message.Rows) {
+	g.hearLoads(now, m.Loads)
 	for _, r := range decodeRows(now, m) {
 		if r.place != g.Place && g.noteRow(r) {
 			g.mergeRow(r)
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -32,12 +32,8 @@
 		return s
 	}
 	own := encodeRows(now, []row{g.ownRow(now)})
-	s.Own, s.Loads = &own, &message.ServerLoads{}
-	for _, l := range g.dispatcher.Loads() {
-		s.Loads.Servers = append(s.Loads.Servers, l.Server)
-		s.Loads.Running = append(s.Loads.Running, l.Running)
-		s.Loads.Pending = append(s.Loads.Pending, l.Pending)
-	}
+	loads := encodeLoads(g.dispatcher.Loads())
+	s.Own, s.Loads = &own, &loads
 	g.sentMu.Lock()
 	s.Sent, g.sent = g.sent, nil
 	g.sentMu.Unlock()
@@ -98,7 +94,7 @@
 		g.dispatcher.PeerSent(p.Server, parts, p.Expected)
 	}
 	if s.Loads != nil {
-		g.dispatcher.PeerLoads(now, from.Daemon, loadsOf(s.Loads))
+		g.dispatcher.PeerLoads(now, from.Daemon, decodeLoads(s.Loads))
 	}
 	if s.Own != nil {
 		for _, r := range decodeRows(now, *s.Own) {
@@ -112,8 +108,19 @@
 	g.countMu.Unlock()
 }
 
-// loadsOf returns the loads of a status.
-func loadsOf(m *message.ServerLoads) []routing.ServerLoad {
+// encodeLoads returns loads as a message.
+func encodeLoads(loads []routing.ServerLoad) message.ServerLoads {
+	m := message.ServerLoads{Servers: []string{}, Running: []int{}, Pending: []int{}}
+	for _, l := range loads {
+		m.Servers = append(m.Servers, l.Server)
+		m.Running = append(m.Running, l.Running)
+		m.Pending = append(m.Pending, l.Pending)
+	}
+	return m
+}
+
+// decodeLoads returns the loads of a message.
+func decodeLoads(m *message.ServerLoads) []routing.ServerLoad {
 	n := min(len(m.Servers), len(m.Running), len(m.Pending))
 	loads := make([]routing.ServerLoad, n)
 	for i := range loads {
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -317,6 +317,19 @@
 	Members []Member `json:"Members"`
 }
 
+// PlaceLoads is the load that the daemons of one place put on backend servers
+// together.
+type PlaceLoads struct {
+	// Milliseconds since the loads were summed up.
+	Age int64 `json:"Age"`
+
+	// Loads; servers that are not named have none.
+	Loads ServerLoads `json:"Loads"`
+
+	// Place of the daemons.
+	Place string `json:"Place"`
+}
+
 // Quarantine carries entries of the quarantine list.
 type Quarantine struct {
 	// Entries.
@@ -326,6 +339,9 @@
 // Rows carries what daemons told of themselves. Lists that are kept by
 // organisation stand in the order of Organisations, so that a name is sent once.
 type Rows struct {
+	// Load on backend servers from other places of the receiver's region.
+	Loads []PlaceLoads `json:"Loads,omitempty,omitzero"`
+
 	// Names of the organisations.
 	Organisations []string `json:"Organisations"`
 
--- a/internal/routing/parts.go
+++ b/internal/routing/parts.go
@@ -19,6 +19,16 @@
 	// peerLoadLife is how long the load that a peer reported counts. Reports come
 	// several times a second; a peer that is gone has no requests any more.
 	peerLoadLife = 1500 * time.Millisecond
+	// placeLoadLife is that time for the load from another place, which is passed on
+	// twice a second by delegates.
+	placeLoadLife = 2 * time.Second
+	// homeHeld is the part of a shared head that is taken to be held by its home, where
+	// all daemons of the region send it.
+	homeHeld = 0.95
+	// placeSeconds is the cost of sending a token of a prompt to another place of the
+	// region, as a delay. At the prices of letter 2, 17 KB of prompt cost as much
+	// there as reading 1,400 shared tokens again, which takes 27 ms.
+	placeSeconds = 1.6e-6
 )
 
 // partRecord names the servers that have read a prompt up to the end of a part.
@@ -55,6 +65,12 @@
 			pending += p.pending
 		}
 	}
+	for _, p := range st.places {
+		if now.Sub(p.at) < placeLoadLife {
+			running += p.running
+			pending += p.pending
+		}
+	}
 	return running, pending
 }
 
@@ -76,7 +92,8 @@
 // takes, because it does not know what the others send there.
 const remoteShare = 1.0 / 16
 
-// spare reports whether a server in another place may get a request of this daemon.
+// spare reports whether a server in another place may get a request of this daemon
+// though it is not known to hold the prompt.
 func (st *state) spare() bool {
 	return st.pending == 0 && float64(st.inFlight) < max(st.slots*remoteShare, 1)
 }
@@ -109,6 +126,42 @@
 	}
 }
 
+// PlaceLoads replaces the load that the daemons of another place put on the servers.
+func (r *Router) PlaceLoads(at time.Time, place string, loads []ServerLoad) {
+	for _, st := range r.states {
+		delete(st.places, place)
+	}
+	for _, l := range loads {
+		st := r.states[l.Server]
+		if st == nil {
+			continue
+		}
+		if st.places == nil {
+			st.places = map[string]peerLoad{}
+		}
+		st.places[place] = peerLoad{running: float64(l.Running), pending: float64(l.Pending), at: at}
+	}
+}
+
+// LoadsHere returns the load that this daemon and its peers put on the servers, without
+// that from other places.
+func (r *Router) LoadsHere(now time.Time) []ServerLoad {
+	var list []ServerLoad
+	for id, st := range r.states {
+		l := ServerLoad{Server: id, Running: st.inFlight, Pending: int(st.pending)}
+		for _, p := range st.peers {
+			if now.Sub(p.at) < peerLoadLife {
+				l.Running += int(p.running)
+				l.Pending += int(p.pending)
+			}
+		}
+		if l.Running > 0 {
+			list = append(list, l)
+		}
+	}
+	return list
+}
+
 // PeerSent records that another daemon sent a prompt to a server.
 func (r *Router) PeerSent(server string, parts []Part, expected int) {
 	st := r.states[server]
@@ -122,6 +175,10 @@
 // touch records that a server has read a prompt, and how many tokens entered its
 // cache by it.
 func (r *Router) touch(parts []Part, st *state, entered float64) {
+	if r.preferPlace {
+		// What the other places of the region send there is not told.
+		entered *= float64(max(r.places[r.regions[st.id]], 1))
+	}
 	st.read += entered
 	for i := range parts {
 		rec, ok := r.parts.Get(parts[i].Prefix)
@@ -176,15 +233,45 @@
 	return parts[max(len(parts)-2, 0)].Prefix
 }
 
-// chooseByParts scores every server with what is known of its cache. The daemons
-// know of each other's prompts, so that no preference has to stand in for it except
-// for the first prompt with a head.
+// homeOf returns the position of the server in the call's region that all daemons there
+// take for the home of a shared head, or -1.
+func (r *Router) homeOf(call *Call, t *Table, servers []int, head uint64) int {
+	home, least := -1, uint64(0)
+	for _, i := range servers {
+		s := &t.servers[i]
+		if !s.Accepting || s.Suspect || s.Region != call.Region {
+			continue
+		}
+		if drawn := mix(head, t.hashes[i]); home < 0 || drawn < least {
+			home, least = i, drawn
+		}
+	}
+	return home
+}
+
+// sharedTokens returns how much of a prompt is shared with others.
+func sharedTokens(parts []Part) float64 {
+	if len(parts) < 2 {
+		return 0
+	}
+	return float64(parts[len(parts)-2].Tokens)
+}
+
+// chooseByParts scores every server with what is known of its cache. Daemons that know
+// of all prompts need no preference in place of it except for the first prompt with a
+// head. Where only those of a place tell each other, a head has a home in the region,
+// because the memory of one place does not hold the heads of all.
 func (r *Router) chooseByParts(now time.Time, call *Call, t *Table, servers []int) Decision {
 	sc := r.scoring(now, call, t)
 	var rejected Rejected
-	here, free, full, unhealthy := none, none, none, none
+	// In the order in which they are taken.
+	const known, near, far, full, unhealthy, ends = 0, 1, 2, 3, 4, 5
+	best := [ends]candidate{none, none, none, none, none}
 	considered := 0
-	head := headOf(call.Parts)
+	head, home := headOf(call.Parts), -1
+	if r.preferPlace {
+		home = r.homeOf(call, t, servers, head)
+	}
 	for _, i := range servers {
 		verdict := sc.eligible(i, &rejected)
 		if verdict == verdictNo {
@@ -196,34 +283,37 @@
 		if c.cached > 0 {
 			c.reason = ReasonPart
 		}
+		if shared := homeHeld * sharedTokens(call.Parts); i == home && c.cached < shared {
+			c.cached, c.reason = shared, ReasonHome
+		}
 		// A drawn number in place of the first one of all keeps heads apart.
 		drawn := float64(mix(head, t.hashes[i])>>11) / (1 << 53)
 		c.score = sc.score(i, c.cached, load).sum() + homeSeconds*drawn
-		switch {
+		kind := known
+		switch s := &t.servers[i]; {
 		case verdict == verdictUnhealthy:
-			c.reason = ReasonAllUnhealthy
-			unhealthy = lower(unhealthy, c)
-		case sc.free(i, load):
-			free = lower(free, c)
-			if r.preferPlace && t.servers[i].Place == call.Place {
-				here = lower(here, c)
-			}
+			c.reason, kind = ReasonAllUnhealthy, unhealthy
+		case load > st.slots-1 || !r.backlogFree(now, st):
+			c.reason, kind = ReasonAllFull, full
+		case !r.preferPlace || s.Place == call.Place:
+		case s.Region == call.Region && c.cached > 0:
+		case !st.spare():
+			c.reason, kind = ReasonAllFull, full
+		case s.Region == call.Region:
+			kind = near
 		default:
-			c.reason = ReasonAllFull
-			full = lower(full, c)
+			kind = far
 		}
+		best[kind] = lower(best[kind], c)
 	}
-	best := here
-	if best.position < 0 {
-		best = free
-	}
-	if best.position < 0 {
-		best = full
-	}
-	if best.position < 0 {
-		best = unhealthy
+	chosen := none
+	for _, c := range best {
+		if c.position >= 0 {
+			chosen = c
+			break
+		}
 	}
-	d := sc.decision(best, considered)
+	d := sc.decision(chosen, considered)
 	d.Rejected = rejected
 	return d
 }
--- a/internal/routing/parts_test.go
+++ b/internal/routing/parts_test.go
@@ -107,3 +107,97 @@
 		t.Errorf("sent to %s although the peer has been silent for %v", got, peerLoadLife)
 	}
 }
+
+// region is a region of three places whose daemons know only their own place's prompts,
+// as many heads as its memory holds, and a wave of requests for them.
+type region struct {
+	tables  map[string]*Table
+	routers map[string]*Router
+	// holds is what each server has read, the last one last.
+	holds map[string][]uint64
+	read  int
+}
+
+const (
+	regionServers = 12
+	regionHead    = 10_000
+	// headsHeld is how many heads the memory of one server holds.
+	headsHeld = 12
+)
+
+// newRegion returns a region; with placeOnly the daemons know only the servers of their
+// own place.
+func newRegion(placeOnly bool) *region {
+	g := &region{tables: map[string]*Table{}, routers: map[string]*Router{}, holds: map[string][]uint64{}}
+	for _, place := range []string{"a", "b", "c"} {
+		var servers []Server
+		for i := range regionServers {
+			s := Server{
+				ID: fmt.Sprintf("s%d", i), Service: "m", Place: string(rune('a' + i%3)), Region: "r", Slots: 16,
+				CacheTokens: headsHeld * regionHead / residentShare, PrefillTokensPerSecond: 50_000, Accepting: true,
+			}
+			if !placeOnly || s.Place == place {
+				servers = append(servers, s)
+			}
+		}
+		g.tables[place] = NewTable(servers, nil)
+		g.routers[place] = New(Options{Shared: true, Backlog: 250 * time.Millisecond})
+		g.routers[place].PreferPlace(true)
+	}
+	return g
+}
+
+// serve plays a request and counts the shared tokens that its server has to read.
+func (g *region) serve(now time.Time, id int, place string, head uint64, random *rand.Rand) {
+	call := partsCall(fmt.Sprint(id), partsOf(head, regionHead, 100, uint64(id)))
+	call.Place = place
+	r := g.routers[place]
+	d := r.Choose(now, call, g.tables[place], random)
+	r.Sent(now, call, d.Server)
+	r.Answered(now, call.RequestID, Answer{CacheUnknown: true})
+	held := g.holds[d.Server]
+	at := -1
+	for i, h := range held {
+		if h == head {
+			at = i
+		}
+	}
+	if at < 0 {
+		g.read += regionHead
+	} else {
+		held = append(held[:at], held[at+1:]...)
+	}
+	if held = append(held, head); len(held) > headsHeld {
+		held = held[1:]
+	}
+	g.holds[d.Server] = held
+}
+
+// TestHomesInRegion plays requests for 96 heads in three places, of which the memory of a
+// place holds 48 and that of the region 144, as on the grown deployments of letter 2. It
+// guards against each place reading the heads again for itself. The baseline keeps the
+// requests of a place there.
+func TestHomesInRegion(t *testing.T) {
+	const heads, requests = 96, 6000
+	play := func(placeOnly bool) int {
+		g := newRegion(placeOnly)
+		random := rand.New(rand.NewPCG(1, 1))
+		now := time.Unix(1_700_000_000, 0)
+		for i := range requests {
+			place := string(rune('a' + random.IntN(3)))
+			head := uint64(1 + random.IntN(heads))
+			g.serve(now, i, place, head, random)
+			now = now.Add(5 * time.Millisecond)
+		}
+		return g.read
+	}
+	alone, together := play(true), play(false)
+	t.Logf("%d shared tokens read with homes in the region, %d with each place for itself", together, alone)
+	// Each head has to be read once, and again where two places choose differently.
+	if most := 2 * heads * regionHead; together > most {
+		t.Errorf("%d shared tokens read, want at most %d", together, most)
+	}
+	if together > alone/2 {
+		t.Errorf("%d shared tokens read, %d with each place for itself", together, alone)
+	}
+}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -69,7 +69,9 @@
 	// entered it so far.
 	cacheTokens float64
 	read        float64
-	peers       map[string]peerLoad
+	// peers holds the load from other daemons of the place, and places that from other
+	// places.
+	peers, places map[string]peerLoad
 }
 
 type flight struct {
@@ -110,6 +112,10 @@
 	view  []*state
 	// preferPlace says that servers in a call's own place go first.
 	preferPlace bool
+	// regions holds the region of each server, and places how many places have servers
+	// by region.
+	regions map[string]string
+	places  map[string]int
 
 	candidates []candidate
 	ranks      []uint64
@@ -150,8 +156,16 @@
 	}
 	r.table = t
 	r.view = make([]*state, len(t.servers))
+	r.regions, r.places = make(map[string]string, len(t.servers)), map[string]int{}
+	seen := map[string]bool{}
 	for i := range t.servers {
-		r.view[i] = r.stateOf(&t.servers[i])
+		s := &t.servers[i]
+		r.view[i] = r.stateOf(s)
+		r.regions[s.ID] = s.Region
+		if !seen[s.Place] {
+			seen[s.Place] = true
+			r.places[s.Region]++
+		}
 	}
 	for id, st := range r.states {
 		if _, ok := t.byID[id]; !ok && st.inFlight == 0 {
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -118,6 +118,9 @@
 		}
 	case sc.call.Place != s.Place:
 		terms.Latency = 2 * placeDelay.Seconds()
+		if sc.r.preferPlace {
+			terms.Link = prefillWeight * placeSeconds * (sc.prompt + float64(sc.call.ExpectedTokens))
+		}
 	}
 	return terms
 }
