--- a/internal/scaling/scaling.go
+++ b/internal/scaling/scaling.go
@@ -115,8 +115,10 @@
 	lowered time.Time
 	// first is when orders were first asked for, and started when demand was first seen.
 	first, started time.Time
-	// present is the most servers that were there before that.
+	// present is the most servers that were there before the first orders. Later ones
+	// stand beside those that they replace for a while.
 	present int
+	ordered bool
 }
 
 // Orders returns the servers to have in each place, or none while it is not known
@@ -126,18 +128,19 @@
 	if p.first.IsZero() {
 		p.first = now
 	}
-	if p.started.IsZero() {
+	if p.started.IsZero() && busy > 0 {
+		p.started = now
+	}
+	if !p.ordered {
 		there := 0
 		for _, place := range places {
 			there += place.Steady + place.Reclaimable
 		}
 		p.present = max(p.present, there)
-		switch {
-		case busy > 0:
-			p.started = now
-		case now.Sub(p.first) < settleTime:
+		if p.started.IsZero() && now.Sub(p.first) < settleTime {
 			return nil
 		}
+		p.ordered = true
 	}
 	switch {
 	case busy >= p.busy, now.Sub(p.lowered) >= shrinkAfter:
--- a/internal/scaling/scaling_test.go
+++ b/internal/scaling/scaling_test.go
@@ -231,6 +231,28 @@
 	}
 }
 
+// TestReplacementsAreNotCounted guards against orders that grow without demand, because
+// the servers that replace others are counted with them: 140 servers became 282.
+func TestReplacementsAreNotCounted(t *testing.T) {
+	m := &market{}
+	for i := range 6 {
+		m.places = append(m.places, Place{Name: string(rune('a' + i)), Price: 1, Steady: 23})
+	}
+	p := &Plan{Options: options}
+	p.Options.Max = 48
+	most := 0
+	for m.now < 20 {
+		m.step(p, Demand{})
+		for _, place := range m.places {
+			most = max(most, place.Reclaimable)
+		}
+	}
+	// The 138 servers that were there, and a fifth more for the loss of a place.
+	if most > 138/5+2 {
+		t.Errorf("%d servers in a place without demand, 23 before", most)
+	}
+}
+
 // TestLargeFleet guards against a reserve that grows with the demand as in a small fleet,
 // where it costs more than it serves, and against one that a reclaimed place uses up.
 func TestLargeFleet(t *testing.T) {
