gateway: measure how much of the shared prompts is read again, and order servers for it

Cause: demand counted a tenth of the shared prompt tokens as read again. The part is now measured by what the chosen servers are taken to hold, averaged over 10 s.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -208,6 +208,7 @@
 	}
 	s.sent++
 	s.logRouting(grant)
+	g.demand.sent(s.service, &s.call, grant.Decision.CachedTokens)
 	q := s.request(server, left)
 	g.noteSent(server.ID, &s.call)
 	res, err := g.Backends.Do(ctx, now, server.Address, q)
--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -18,9 +18,12 @@
 	// demandSilence is how long the demand that a peer told of counts. Its callers
 	// turn to other daemons when it is gone.
 	demandSilence = 2 * time.Second
-	// reread is the part of the shared prompt tokens that is assumed to be read
-	// again, because they have left every cache.
-	reread = 0.1
+	// startReread is the part of the shared prompt tokens that is taken to be read again,
+	// because no server that has room holds them, before it is measured.
+	startReread = 0.1
+	// rereadLife is the time over which that part is averaged. It is longer than the
+	// seconds in which empty caches fill.
+	rereadLife = 10 * time.Second
 )
 
 // demand measures the work that callers ask for, by service, here and at the peers.
@@ -32,12 +35,16 @@
 
 // serviceDemand is what callers ask of one service at this daemon.
 type serviceDemand struct {
-	// prompt and output sum the tokens since at.
-	prompt, output float64
-	at             time.Time
-	rate           scaling.Demand
+	// own, shared and output sum the tokens that callers asked for since at: those of the
+	// prompt that only this request has, those that others have too, and the response.
+	own, shared, output float64
+	at                  time.Time
+	rate                scaling.Demand
 	// known says that rate holds an average.
 	known bool
+	// sent and missing sum the shared tokens of prompts sent since at, and those of them
+	// that their servers do not hold. reread is the average share.
+	sent, missing, reread float64
 }
 
 type peerDemand struct {
@@ -55,14 +62,26 @@
 	defer d.mu.Unlock()
 	s := d.services[service]
 	if s == nil {
-		s = &serviceDemand{at: now}
+		s = &serviceDemand{at: now, reread: startReread}
 		d.services[service] = s
 	}
 	shared := sharedTokens(call.Parts)
-	s.prompt += float64(max(call.PromptTokens-shared, 0)) + reread*float64(shared)
+	s.own += float64(max(call.PromptTokens-shared, 0))
+	s.shared += float64(shared)
 	s.output += float64(call.expected())
 }
 
+// sent takes that a prompt was sent to a server which is taken to hold some of it.
+func (d *demand) sent(service string, call *Call, cached float64) {
+	shared := float64(sharedTokens(call.Parts))
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if s := d.services[service]; s != nil {
+		s.sent += shared
+		s.missing += max(shared-cached, 0)
+	}
+}
+
 func sharedTokens(parts []routing.Part) int {
 	if len(parts) < 2 {
 		return 0
@@ -81,9 +100,13 @@
 		// The average begins with what came first, rather than to rise from 0.
 		weight, s.known = 1, true
 	}
-	s.rate.PromptTokens += weight * (s.prompt/span - s.rate.PromptTokens)
+	if s.sent > 0 {
+		s.reread += min(span/rereadLife.Seconds(), 1) * (s.missing/s.sent - s.reread)
+	}
+	prompt := s.own + s.reread*s.shared
+	s.rate.PromptTokens += weight * (prompt/span - s.rate.PromptTokens)
 	s.rate.OutputTokens += weight * (s.output/span - s.rate.OutputTokens)
-	s.prompt, s.output, s.at = 0, 0, now
+	s.own, s.shared, s.output, s.sent, s.missing, s.at = 0, 0, 0, 0, 0, now
 }
 
 // own returns the demand at this daemon.
