scaling: start steady servers only where there is room; bound what is read again

Cause: after a reclaim, steady servers were spread over all places, and in places at their limit each ended a cheap server that worked, 4 s before it was ready itself. They now go where room is. Cheap servers are ordered at once at the start; none is given up for 3 s.

--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -18,9 +18,9 @@
 	// demandSilence is how long the demand that a peer told of counts. Its callers
 	// turn to other daemons when it is gone.
 	demandSilence = 2 * time.Second
-	// startReread is the part of the shared prompt tokens that is taken to be read again,
-	// because no server that has room holds them, before it is measured.
-	startReread = 0.1
+	// usualReread is the part of the shared prompt tokens that is always taken to be read
+	// again, because no server that has room holds them.
+	usualReread = 0.1
 	// rereadLife is the time over which that part is averaged. It is longer than the
 	// seconds in which empty caches fill.
 	rereadLife = 10 * time.Second
@@ -62,7 +62,7 @@
 	defer d.mu.Unlock()
 	s := d.services[service]
 	if s == nil {
-		s = &serviceDemand{at: now, reread: startReread}
+		s = &serviceDemand{at: now, reread: usualReread}
 		d.services[service] = s
 	}
 	shared := sharedTokens(call.Parts)
@@ -103,8 +103,9 @@
 	if s.sent > 0 {
 		s.reread += min(span/rereadLife.Seconds(), 1) * (s.missing/s.sent - s.reread)
 	}
-	prompt := s.own + s.reread*s.shared
+	prompt, more := s.own+usualReread*s.shared, max(s.reread-usualReread, 0)*s.shared
 	s.rate.PromptTokens += weight * (prompt/span - s.rate.PromptTokens)
+	s.rate.RereadTokens += weight * (more/span - s.rate.RereadTokens)
 	s.rate.OutputTokens += weight * (s.output/span - s.rate.OutputTokens)
 	s.own, s.shared, s.output, s.sent, s.missing, s.at = 0, 0, 0, 0, 0, now
 }
@@ -116,7 +117,7 @@
 	var list []message.ServiceDemand
 	for name, s := range d.services {
 		s.take(now)
-		list = append(list, message.ServiceDemand{Service: name, Prompt: s.rate.PromptTokens, Output: s.rate.OutputTokens})
+		list = append(list, message.ServiceDemand{Service: name, Prompt: s.rate.PromptTokens, Reread: s.rate.RereadTokens, Output: s.rate.OutputTokens})
 	}
 	return list
 }
@@ -125,7 +126,7 @@
 func (d *demand) heard(now time.Time, daemon string, list []message.ServiceDemand) {
 	rates := make(map[string]scaling.Demand, len(list))
 	for _, s := range list {
-		rates[s.Service] = scaling.Demand{PromptTokens: s.Prompt, OutputTokens: s.Output}
+		rates[s.Service] = scaling.Demand{PromptTokens: s.Prompt, RereadTokens: s.Reread, OutputTokens: s.Output}
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -147,6 +148,7 @@
 			continue
 		}
 		sum.PromptTokens += p.rates[service].PromptTokens
+		sum.RereadTokens += p.rates[service].RereadTokens
 		sum.OutputTokens += p.rates[service].OutputTokens
 	}
 	return sum
--- a/internal/gateway/duty.go
+++ b/internal/gateway/duty.go
@@ -348,9 +348,14 @@
 	var orders []ServerOrder
 	list := s.places(now, v, service)
 	for _, o := range p.Orders(now, demand, list) {
-		orders = append(orders,
-			ServerOrder{Service: service.Name, Place: o.Place, Reclaimable: true, Count: o.Reclaimable},
-			ServerOrder{Service: service.Name, Place: o.Place, Count: o.Steady})
+		for _, kind := range []ServerOrder{
+			{Service: service.Name, Place: o.Place, Reclaimable: true, Count: o.Reclaimable},
+			{Service: service.Name, Place: o.Place, Count: o.Steady},
+		} {
+			if kind.Count != scaling.Leave {
+				orders = append(orders, kind)
+			}
+		}
 	}
 	return orders
 }
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -388,6 +388,9 @@
 	// Prompt tokens a second that no cache is expected to hold.
 	Prompt float64 `json:"Prompt"`
 
+	// Shared prompt tokens a second that are read again beyond those.
+	Reread float64 `json:"Reread,omitempty,omitzero"`
+
 	// Name of the service.
 	Service string `json:"Service"`
 }
--- a/internal/scaling/scaling.go
+++ b/internal/scaling/scaling.go
@@ -25,8 +25,11 @@
 
 // Demand is what callers asked of the service lately.
 type Demand struct {
-	// PromptTokens is the rate of prompt tokens that no cache holds.
+	// PromptTokens is the rate of prompt tokens that no cache is expected to hold.
 	PromptTokens float64
+	// RereadTokens is the rate of shared prompt tokens that are read beyond those,
+	// because their holders have been reclaimed or are full.
+	RereadTokens float64
 	// OutputTokens is the rate of response tokens.
 	OutputTokens float64
 }
@@ -46,6 +49,9 @@
 	PromptRate, OutputRate float64
 }
 
+// Leave in place of a number leaves the servers of a kind as they are.
+const Leave = -1
+
 // Order is how many servers to have in one place.
 type Order struct {
 	Place       string
@@ -68,8 +74,9 @@
 var (
 	// cheap is for reclaimable servers. Both terms are equal at 4 busy servers.
 	cheap = staffing{use: 0.09, reserve: 18}
-	// dear is for steady servers, of which each costs several times as much.
-	dear = staffing{use: 0.4, reserve: 3}
+	// dear is for steady servers, of which each costs several times as much. Both terms are
+	// equal at 16 busy servers: a smaller reserve fell short when reclaims came in series.
+	dear = staffing{use: 0.4, reserve: 6}
 )
 
 // servers returns how many servers a demand needs, in busy servers.
@@ -77,6 +84,9 @@
 	return min(busy/s.use, busy+s.reserve*math.Sqrt(busy))
 }
 
+// plenty reports whether the fleet is so small that its reserve grows with the demand.
+func (s staffing) plenty(busy float64) bool { return busy/s.use <= busy+s.reserve*math.Sqrt(busy) }
+
 // busy returns the demand for which a number of servers is right.
 func (s staffing) busy(servers float64) float64 {
 	// The positive root of busy + reserve*sqrt(busy) = servers.
@@ -88,10 +98,13 @@
 	// shrinkAfter is how long demand has to be below before servers are given up.
 	// Starting one again takes its boot time.
 	shrinkAfter = 10 * time.Second
-	// settleTime is how long the servers that are there are counted before the first
-	// orders without demand. They register within 3 s (seedLagS of letter 2), and an
-	// order for fewer ends the others.
-	settleTime = 4 * time.Second
+	// settleTime is how long the servers that are there are counted before some are given
+	// up without demand. They register within 3 s (seedLagS of letter 2), and an order for
+	// fewer ends the others.
+	settleTime = 3 * time.Second
+	// rereadMost bounds what is read again as a part of the other demand. While most
+	// servers are gone everything is read again, and more of it would only be paid for.
+	rereadMost = 0.3
 )
 
 // Busy returns how many servers the demand keeps busy all the time.
@@ -115,14 +128,14 @@
 	lowered time.Time
 	// first is when orders were first asked for, and started when demand was first seen.
 	first, started time.Time
-	// present is the most servers that were there before the first orders. Later ones
-	// stand beside those that they replace for a while.
-	present int
-	ordered bool
+	// steadies and reclaimable are how many servers were there before demand was known or
+	// settleTime had passed, without those that were ordered meanwhile.
+	steadies, reclaimable int
+	settled               bool
 }
 
-// Orders returns the servers to have in each place, or none while it is not known
-// which are there.
+// Orders returns the servers to have in each place. While it is not known which are
+// there, none are given up.
 func (p *Plan) Orders(now time.Time, d Demand, places []Place) []Order {
 	busy := Busy(d, p.Options)
 	if p.first.IsZero() {
@@ -131,23 +144,25 @@
 	if p.started.IsZero() && busy > 0 {
 		p.started = now
 	}
-	if !p.ordered {
-		there := 0
+	settling := p.started.IsZero() && now.Sub(p.first) < settleTime
+	if !p.settled {
+		steady, reclaimable := 0, 0
 		for _, place := range places {
-			there += place.Steady + place.Reclaimable
+			steady += place.Steady
+			reclaimable += place.Reclaimable
 		}
-		p.present = max(p.present, there)
-		if p.started.IsZero() && now.Sub(p.first) < settleTime {
-			return nil
+		if p.first.Equal(now) {
+			p.reclaimable = reclaimable
 		}
-		p.ordered = true
+		p.steadies = max(p.steadies, steady)
+		p.settled = !settling
 	}
 	switch {
 	case busy >= p.busy, now.Sub(p.lowered) >= shrinkAfter:
 		p.busy, p.lowered = busy, now
 	}
 	if p.started.IsZero() || now.Sub(p.started) < shrinkAfter {
-		p.busy = max(p.busy, cheap.busy(float64(max(p.Options.Least, p.present))))
+		p.busy = max(p.busy, cheap.busy(float64(max(p.Options.Least, p.steadies+p.reclaimable))))
 	}
 	places = slices.Clone(places)
 	slices.SortFunc(places, func(a, b Place) int {
@@ -160,7 +175,11 @@
 	}
 	// What remains stands when the place with the most of them is reclaimed.
 	each := int(math.Ceil(cheap.servers(p.busy) / float64(max(len(places)-1, 1))))
-	spread(orders, p.steady(places), o.Max)
+	reread := 0.0
+	if o.PromptRate > 0 {
+		reread = d.RereadTokens / o.PromptRate
+	}
+	spread(orders, places, p.steady(places, reread), o.Max)
 	if o.ReclaimablePrice > 0 {
 		for i := range orders {
 			orders[i].Reclaimable = max(min(each, o.Max-orders[i].Steady), 0)
@@ -171,14 +190,29 @@
 			orders[i].Steady += short
 		}
 	}
+	if settling {
+		hold(orders, places, o.Max)
+	}
 	return orders
 }
 
+// hold changes orders so that they end no server.
+func hold(orders []Order, places []Place, most int) {
+	for i := range orders {
+		orders[i].Steady = Leave
+		orders[i].Reclaimable = max(min(orders[i].Reclaimable, most-places[i].Steady), places[i].Reclaimable)
+	}
+}
+
 // steady returns how many steady servers to have. Reclaims come one after the other
 // and leave less time than a start takes, so that the servers that remain after
-// one more reclaim have to bear the demand.
-func (p *Plan) steady(places []Place) int {
-	needed := int(math.Ceil(dear.servers(p.busy)))
+// one more reclaim have to bear the demand, with what is read again in the meantime
+// unless the slack of a small fleet covers that.
+func (p *Plan) steady(places []Place, reread float64) int {
+	if cheap.plenty(p.busy) {
+		reread = 0
+	}
+	needed := int(math.Ceil(dear.servers(p.busy + min(reread, rereadMost*p.busy))))
 	if p.Options.ReclaimablePrice <= 0 {
 		return needed
 	}
@@ -193,13 +227,15 @@
 	return max(needed-(ready+coming-most), min(needed-(ready-most), present), 0)
 }
 
-// spread adds n steady servers evenly, the first places first, within the bound of
-// a place.
-func spread(orders []Order, n, most int) {
+// spread adds n steady servers evenly, the first places first, within the bound of a
+// place. They take no room of cheap servers that are there or coming: that would end
+// servers which work for some that have to start.
+func spread(orders []Order, places []Place, n, most int) {
 	for n > 0 {
 		added := false
-		for i := range orders {
-			if n > 0 && orders[i].Steady < most {
+		for i, place := range places {
+			room := max(most-place.Reclaimable-place.Coming, place.Steady)
+			if n > 0 && orders[i].Steady < min(room, most) {
 				orders[i].Steady++
 				n--
 				added = true
