--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -404,17 +404,7 @@
 	for _, n := range nodes {
 		await(t, "all daemons know each other", func() bool { return len(n.Addresses("a", "r")) == 4 })
 	}
-	w.store.mu.Lock()
-	w.store.reads = 0
-	w.store.mu.Unlock()
-	time.Sleep(3 * time.Second)
-	w.store.mu.Lock()
-	reads := w.store.reads
-	w.store.mu.Unlock()
-	// Two reads each 0.7 s, and half as many again for rounds that overlap.
-	if most := 15; reads > most {
-		t.Errorf("%d reads in 3 s by 4 daemons, want at most %d", reads, most)
-	}
+	w.checkReads(len(nodes))
 }
 
 // TestQuotaTogether guards against each daemon admitting the whole quota.
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -396,6 +396,21 @@
 	return reply{status: res.StatusCode, header: res.Header, body: string(body), closes: res.Close, err: err}
 }
 
+// checkReads counts the reads of the store by all daemons for 3 s.
+func (w *world) checkReads(daemons int) {
+	w.t.Helper()
+	w.store.mu.Lock()
+	w.store.reads = 0
+	w.store.mu.Unlock()
+	time.Sleep(3 * time.Second)
+	w.store.mu.Lock()
+	defer w.store.mu.Unlock()
+	// Two reads each 0.7 s, and half as many again for rounds that overlap.
+	if most := 15; w.store.reads > most {
+		w.t.Errorf("%d reads in 3 s by %d daemons, want at most %d", w.store.reads, daemons, most)
+	}
+}
+
 // event is one event of a stream.
 func event(id int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", id, id) }
 
--- a/internal/gateway/topology_test.go
+++ b/internal/gateway/topology_test.go
@@ -98,17 +98,7 @@
 	w := newWorld(t)
 	s := w.server("s1", "plain", signed("ok"))
 	nodes := placed(w)
-	w.store.mu.Lock()
-	w.store.reads = 0
-	w.store.mu.Unlock()
-	time.Sleep(3 * time.Second)
-	w.store.mu.Lock()
-	reads := w.store.reads
-	w.store.mu.Unlock()
-	// Two reads each 0.7 s, and half as many again for rounds that overlap.
-	if most := 15; reads > most {
-		t.Errorf("%d reads in 3 s by 9 daemons in 3 places, want at most %d", reads, most)
-	}
+	w.checkReads(len(nodes))
 	nodes["b-0"].cancel()
 	nodes["b-1"].cancel()
 	w.conf.Version = 7
--- a/internal/routing/parts.go
+++ b/internal/routing/parts.go
@@ -42,8 +42,23 @@
 	touched float64
 }
 
-// peerLoad is the load that another daemon puts on a server.
-type peerLoad struct {
+// loadSource is who puts a load on a server: another daemon of the place, or all
+// daemons of another place.
+type loadSource struct {
+	name  string
+	place bool
+}
+
+// life returns how long a load that was told counts.
+func (s loadSource) life() time.Duration {
+	if s.place {
+		return placeLoadLife
+	}
+	return peerLoadLife
+}
+
+// toldLoad is a load on a server as of a time.
+type toldLoad struct {
 	running, pending float64
 	at               time.Time
 }
@@ -59,16 +74,10 @@
 
 // elsewhere returns the load of the other daemons on a server.
 func (st *state) elsewhere(now time.Time) (running, pending float64) {
-	for _, p := range st.peers {
-		if now.Sub(p.at) < peerLoadLife {
-			running += p.running
-			pending += p.pending
-		}
-	}
-	for _, p := range st.places {
-		if now.Sub(p.at) < placeLoadLife {
-			running += p.running
-			pending += p.pending
+	for source, l := range st.told {
+		if now.Sub(l.at) < source.life() {
+			running += l.running
+			pending += l.pending
 		}
 	}
 	return running, pending
@@ -111,35 +120,27 @@
 
 // PeerLoads replaces the load that another daemon puts on the servers.
 func (r *Router) PeerLoads(now time.Time, daemon string, loads []ServerLoad) {
-	for _, st := range r.states {
-		delete(st.peers, daemon)
-	}
-	for _, l := range loads {
-		st := r.states[l.Server]
-		if st == nil {
-			continue
-		}
-		if st.peers == nil {
-			st.peers = map[string]peerLoad{}
-		}
-		st.peers[daemon] = peerLoad{running: float64(l.Running), pending: float64(l.Pending), at: now}
-	}
+	r.replaceLoads(now, loadSource{name: daemon}, loads)
 }
 
 // PlaceLoads replaces the load that the daemons of another place put on the servers.
 func (r *Router) PlaceLoads(at time.Time, place string, loads []ServerLoad) {
+	r.replaceLoads(at, loadSource{name: place, place: true}, loads)
+}
+
+func (r *Router) replaceLoads(at time.Time, source loadSource, loads []ServerLoad) {
 	for _, st := range r.states {
-		delete(st.places, place)
+		delete(st.told, source)
 	}
 	for _, l := range loads {
 		st := r.states[l.Server]
 		if st == nil {
 			continue
 		}
-		if st.places == nil {
-			st.places = map[string]peerLoad{}
+		if st.told == nil {
+			st.told = map[loadSource]toldLoad{}
 		}
-		st.places[place] = peerLoad{running: float64(l.Running), pending: float64(l.Pending), at: at}
+		st.told[source] = toldLoad{running: float64(l.Running), pending: float64(l.Pending), at: at}
 	}
 }
 
@@ -148,15 +149,15 @@
 func (r *Router) LoadsHere(now time.Time) []ServerLoad {
 	var list []ServerLoad
 	for id, st := range r.states {
-		l := ServerLoad{Server: id, Running: st.inFlight, Pending: int(st.pending)}
-		for _, p := range st.peers {
-			if now.Sub(p.at) < peerLoadLife {
-				l.Running += int(p.running)
-				l.Pending += int(p.pending)
+		sum := ServerLoad{Server: id, Running: st.inFlight, Pending: int(st.pending)}
+		for source, l := range st.told {
+			if !source.place && now.Sub(l.at) < source.life() {
+				sum.Running += int(l.running)
+				sum.Pending += int(l.pending)
 			}
 		}
-		if l.Running > 0 {
-			list = append(list, l)
+		if sum.Running > 0 {
+			list = append(list, sum)
 		}
 	}
 	return list
@@ -257,6 +258,40 @@
 	return float64(parts[len(parts)-2].Tokens)
 }
 
+// candidateKind says in which order the servers for a prompt by parts are taken.
+type candidateKind int
+
+const (
+	// known servers have room, and are in the place or hold the prompt.
+	known candidateKind = iota
+	// nearby servers are in another place of the region and have room, as far as is known.
+	nearby
+	// remote servers are in another region.
+	remote
+	full
+	unhealthy
+	kinds
+)
+
+// kindOf returns the kind of a server that is taken to hold some tokens of the prompt.
+func (sc *scoring) kindOf(i int, verdict eligibility, load, cached float64) candidateKind {
+	s, st := &sc.t.servers[i], sc.r.view[i]
+	sameRegion := s.Region == sc.call.Region
+	switch {
+	case verdict == verdictUnhealthy:
+		return unhealthy
+	case load > st.slots-1 || !sc.r.backlogFree(sc.now, st):
+		return full
+	case !sc.r.preferPlace, s.Place == sc.call.Place, sameRegion && cached > 0:
+		return known
+	case !st.spare():
+		return full
+	case sameRegion:
+		return nearby
+	}
+	return remote
+}
+
 // chooseByParts scores every server with what is known of its cache. Daemons that know
 // of all prompts need no preference in place of it except for the first prompt with a
 // head. Where only those of a place tell each other, a head has a home in the region,
@@ -264,9 +299,7 @@
 func (r *Router) chooseByParts(now time.Time, call *Call, t *Table, servers []int) Decision {
 	sc := r.scoring(now, call, t)
 	var rejected Rejected
-	// In the order in which they are taken.
-	const known, near, far, full, unhealthy, ends = 0, 1, 2, 3, 4, 5
-	best := [ends]candidate{none, none, none, none, none}
+	best := [kinds]candidate{none, none, none, none, none}
 	considered := 0
 	head, home := headOf(call.Parts), -1
 	if r.preferPlace {
@@ -289,20 +322,12 @@
 		// A drawn number in place of the first one of all keeps heads apart.
 		drawn := float64(mix(head, t.hashes[i])>>11) / (1 << 53)
 		c.score = sc.score(i, c.cached, load).sum() + homeSeconds*drawn
-		kind := known
-		switch s := &t.servers[i]; {
-		case verdict == verdictUnhealthy:
-			c.reason, kind = ReasonAllUnhealthy, unhealthy
-		case load > st.slots-1 || !r.backlogFree(now, st):
-			c.reason, kind = ReasonAllFull, full
-		case !r.preferPlace || s.Place == call.Place:
-		case s.Region == call.Region && c.cached > 0:
-		case !st.spare():
-			c.reason, kind = ReasonAllFull, full
-		case s.Region == call.Region:
-			kind = near
-		default:
-			kind = far
+		kind := sc.kindOf(i, verdict, load, c.cached)
+		switch kind {
+		case full:
+			c.reason = ReasonAllFull
+		case unhealthy:
+			c.reason = ReasonAllUnhealthy
 		}
 		best[kind] = lower(best[kind], c)
 	}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -69,9 +69,8 @@
 	// entered it so far.
 	cacheTokens float64
 	read        float64
-	// peers holds the load from other daemons of the place, and places that from other
-	// places.
-	peers, places map[string]peerLoad
+	// told holds the load that others told of.
+	told map[loadSource]toldLoad
 }
 
 type flight struct {
