--- a/internal/gateway/measures.go
+++ b/internal/gateway/measures.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+
+	"apricotbridge/internal/quota"
 )
 
 const (
@@ -92,9 +94,18 @@
 	}
 	value("duty.held", held)
 	g.quotaMu.Lock()
-	used := g.quotas.Used()
+	states := map[string]quota.State{}
+	for organisation := range g.quotas.Used() {
+		states[organisation] = g.quotas.State(now, organisation)
+	}
 	g.quotaMu.Unlock()
-	for _, organisation := range slices.Sorted(maps.Keys(used)) {
-		fmt.Fprintf(w, "%s{organisation=%q} %g\n", name("quota.used"), organisation, used[organisation])
+	for i, organisation := range slices.Sorted(maps.Keys(states)) {
+		s := states[organisation]
+		fmt.Fprintf(w, "%s{organisation=%q} %g\n", name("quota.used"), organisation, s.Used)
+		fmt.Fprintf(w, "%s{organisation=%q} %g\n", name("quota.level"), organisation, s.Level)
+		if i == 0 { // The reports are those of daemons, not of organisations.
+			value("quota.report.age.milliseconds", s.OldestReport.Milliseconds())
+			value("quota.silent.daemons", s.Silent)
+		}
 	}
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -17,6 +17,7 @@
 	"apricotbridge/internal/dispatch"
 	"apricotbridge/internal/logs"
 	"apricotbridge/internal/quarantine"
+	"apricotbridge/internal/quota"
 	"apricotbridge/internal/route"
 	"apricotbridge/internal/routing"
 	"apricotbridge/pkg/problem"
@@ -218,9 +219,14 @@
 	}
 	s.g.quotaMu.Lock()
 	ok, retryAfter := s.g.quotas.Take(s.received, s.org.Name, amount)
+	var state quota.State
+	if !ok {
+		state = s.g.quotas.State(s.received, s.org.Name)
+	}
 	s.g.quotaMu.Unlock()
 	if !ok {
-		p := problem.New(problem.Overloaded, "organisation %q is over its quota", s.org.Name)
+		p := problem.New(problem.Overloaded, "organisation %q is over its quota (needs %.0f, level %.0f, used here %.0f, oldest report %v, silent daemons %d)",
+			s.org.Name, amount, state.Level, state.Used, state.OldestReport.Round(time.Millisecond), state.Silent)
 		p.RetryAfter = retryAfter
 		return p
 	}
@@ -348,7 +354,7 @@
 	s.g.requestMetrics.recordOutcome(outcome, took)
 	s.g.Log.Info(logs.RequestEnded, logs.RequestID, s.call.ID, "Route", name, "Service", s.service, "Organisation", s.organisation(),
 		"Rank", s.rank, "Allowed", s.deadline.Sub(s.received).Milliseconds(), logs.Outcome, outcome, "Status", status, "Detail", detail, "Took", took.Milliseconds(), "Sent", s.attemptsSent,
-		"Ran", s.mayHaveRun, "Events", s.stream.eventCount)
+		"Ran", s.mayHaveRun, "Events", s.stream.eventCount, "Charged", s.quotaCharged)
 }
 
 // jitter returns a random time between d and 1.5 times d.
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -133,6 +133,38 @@
 	return used
 }
 
+// State describes a bucket and the reports that its level depends on.
+type State struct {
+	// Level is what the bucket holds. Below 0, more than the limit was admitted.
+	Level float64
+	// Used is the sum of what this daemon has admitted since its start.
+	Used float64
+	// OldestReport is the age of the oldest report among the peers that are not silent.
+	OldestReport time.Duration
+	// Silent counts the silent peers whose processes are not known to have ended.
+	Silent int
+}
+
+// State returns the state of an organisation's bucket.
+func (q *Limiter) State(now time.Time, organisation string) State {
+	var s State
+	if b := q.buckets[organisation]; b != nil {
+		q.refill(now, b)
+		s.Level, s.Used = b.level, b.used
+	}
+	for _, p := range q.peers {
+		age := now.Sub(p.lastReport)
+		switch {
+		case p.processEnded:
+		case age > cmp.Or(q.SilentAfter, defaultSilentAfter):
+			s.Silent++
+		default:
+			s.OldestReport = max(s.OldestReport, age)
+		}
+	}
+	return s
+}
+
 // Merge charges what a peer has admitted since its last report. used holds the sums since
 // the peer's start.
 func (q *Limiter) Merge(now time.Time, daemon string, start int64, used map[string]float64) {
