gateway: count a run that was stopped at a leaving server like any other

Cause: the check of the route's attempts passed over attempts that the daemon itself had stopped, on the ground that a server which leaves does not count. It counts until it has ended, and it serves for seconds after it says that it leaves.

Now there is one count of the servers that may have run a request, whatever ended the run. A stream whose route allows no further attempt is no longer taken from a leaving server; it continues there for as long as the server runs.

Ruled out: a run taken for none (a connection counts as unused only if no byte was written; an answer's head always counts), a changed route (the check uses the route that the request was admitted with).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -135,7 +135,7 @@
 		p = problem.New(problem.OutcomeUnknown, "the caller is gone")
 	case s.deadline.Sub(now) < minAttemptTime:
 		p = s.expiredProblem()
-	case s.attemptsMayHaveRun >= max(s.route.Attempts, 1) && !certainlyNotRun(result.ending) && result.ending != dispatch.Stopped,
+	case s.attemptsExhausted() && !certainlyNotRun(result.ending),
 		s.attemptsSent >= max(s.route.Attempts, 1)+maxExtraAttempts:
 		p = problem.New(problem.BackendFailed, "%d attempts failed: %v", s.attemptsSent, result.err)
 	case !certainlyNotRun(result.ending) && !s.repeatable():
@@ -155,6 +155,12 @@
 	return nil
 }
 
+// attemptsExhausted reports whether as many servers may have run the request as its route
+// allows.
+func (s *session) attemptsExhausted() bool {
+	return s.attemptsMayHaveRun >= max(s.route.Attempts, 1)
+}
+
 // certainlyNotRun reports whether an attempt ended before the server ran the request.
 func certainlyNotRun(e dispatch.Ending) bool {
 	return e == dispatch.NotStarted || e == dispatch.NotSent
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -85,7 +85,7 @@
 
 // readDeadline returns the time at which the wait for further bytes of a stream ends.
 func (s *session) readDeadline(now time.Time) time.Time {
-	if s.stream.eventCount > 0 && s.repeatable() && s.attemptsMayHaveRun < s.route.Attempts {
+	if s.stream.eventCount > 0 && s.repeatable() && !s.attemptsExhausted() {
 		if silenceEnds := now.Add(max(silentGapFactor*s.route.TargetEventGap, minStreamSilence)); silenceEnds.Before(s.deadline) {
 			return silenceEnds
 		}
@@ -94,14 +94,16 @@
 }
 
 // watchStop cancels the attempt when its server is leaving and the stream can be resumed
-// on another one.
+// on another one. If the route allows no further attempt, the stream continues for as long
+// as its server runs.
 func (s *session) watchStop(ctx context.Context, cancel context.CancelCauseFunc) <-chan struct{} {
 	done := make(chan struct{})
+	movable := s.route.Repeat == route.Resume && !s.attemptsExhausted()
 	go func() {
 		defer close(done)
 		select {
 		case leaving := <-s.stop:
-			if leaving && s.route.Repeat == route.Resume {
+			if leaving && movable {
 				cancel(errServerLeaving)
 			}
 		case <-ctx.Done():
