backend: limit the head of an answer

A backend server in trouble may send bytes that are no answer without end. http.ReadResponse has no limit for a head, so that a daemon kept reading a status line or headers until the deadline of the attempt: at 200 Mbit/s some 300 MB in 12 s, over half of what the larger instances have, and the request waited for its deadline although the server had failed.

Now a head of more than 64 KB ends the attempt, and the connection is closed.

Bodies, chunk sizes and trailers had limits already.

--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -188,6 +188,56 @@
 	})
 }
 
+// TestEndlessAnswer guards against reading an answer without end until the request's
+// deadline, which fills the memory.
+func TestEndlessAnswer(t *testing.T) {
+	const status, answered = "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nX-Attempt: 1\r\nX-Signature: s\r\n"
+	// maxSent is what may be sent before the connection is closed, with the buffers of the
+	// sockets.
+	const maxSent = 32 << 20
+	for _, c := range []struct{ name, begin, repeat string }{
+		{"no HTTP", "", "noise"},
+		{"status line", "HTTP/1.1 200 ", "noise"},
+		{"header name", status, "noise"},
+		{"header value", status + "X-Other: ", "noise"},
+		{"headers", status, "X-Other: noise\r\n"},
+		{"different headers", status, "X-%d: noise\r\n"},
+		{"interim answers", "", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		{"answers to other requests", "", responseText("9", "", "abc")},
+		{"body", answered + "\r\n", "noise"},
+		{"body of another request", "HTTP/1.1 200 OK\r\nX-Attempt: 9\r\n\r\n", "noise"},
+		{"chunk size", answered + "Transfer-Encoding: chunked\r\n\r\n", "0"},
+		{"chunk extension", answered + "Transfer-Encoding: chunked\r\n\r\n5;", "noise"},
+		{"trailers", answered + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-Other: noise\r\n"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			sent := make(chan int, 1)
+			s := startServer(t, func(conn net.Conn, readRequest func() string) {
+				readRequest()
+				n, err := fmt.Fprint(conn, c.begin)
+				for i := 0; err == nil && n <= maxSent; i++ {
+					text := c.repeat
+					if strings.Contains(text, "%d") {
+						text = fmt.Sprintf(text, i)
+					}
+					var written int
+					written, err = fmt.Fprint(conn, strings.Repeat(text, 1000))
+					n += written
+				}
+				sent <- n
+			})
+			p := &Pool{Names: testNames}
+			defer p.Close()
+			if body, err := fetch(t, p, s.address, "1"); !errors.Is(err, ErrIncomplete) {
+				t.Errorf("%d bytes of body, error %v, want ErrIncomplete", len(body), err)
+			}
+			if n := <-sent; n > maxSent {
+				t.Errorf("the server sent %d bytes", n)
+			}
+		})
+	}
+}
+
 // TestNotRun guards against overlooking the server's statement that it did not run the
 // request.
 func TestNotRun(t *testing.T) {
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -19,6 +20,9 @@
 	maxSkippedResponses = 3
 	// maxSkippedBodyBytes limits the skipped body of a response to another request.
 	maxSkippedBodyBytes = 64 << 10
+	// maxHeadBytes limits the head of a response. It is the limit for the heads of
+	// requests.
+	maxHeadBytes = 64 << 10
 	// concurrentWriteBytes is the body size above which the request is written
 	// concurrently with reading the response, since a server may respond before it has
 	// read the whole body.
@@ -71,10 +75,27 @@
 	reusable       bool
 }
 
-type bufferedReader struct{ *bufio.Reader }
+// bufferedReader reads a connection. It limits the bytes of a head, which http.ReadResponse
+// does not.
+type bufferedReader struct {
+	*bufio.Reader
+	source *io.LimitedReader
+}
 
 func newBufferedReader(r io.Reader) *bufferedReader {
-	return &bufferedReader{bufio.NewReaderSize(r, readBufferBytes)}
+	source := &io.LimitedReader{R: r, N: math.MaxInt64}
+	return &bufferedReader{bufio.NewReaderSize(source, readBufferBytes), source}
+}
+
+// readHead reads the head of the next response. The body is read without a limit.
+func (b *bufferedReader) readHead(method string) (*http.Response, error) {
+	b.source.N = maxHeadBytes
+	head, err := http.ReadResponse(b.Reader, &http.Request{Method: method})
+	if err != nil && b.source.N <= 0 {
+		return nil, errors.Errorf("head has over %d bytes", maxHeadBytes)
+	}
+	b.source.N = math.MaxInt64
+	return head, err
 }
 
 // Do sends a request and returns after reading the head of the response. When the
@@ -141,7 +162,7 @@
 // readHead reads response heads until one belongs to the request.
 func (r *Response) readHead(q *Request, names HeaderNames) error {
 	for range maxSkippedResponses {
-		head, err := http.ReadResponse(r.conn.reader.Reader, &http.Request{Method: q.Method}) //nolint:bodyclose // It ends with the connection.
+		head, err := r.conn.reader.readHead(q.Method) //nolint:bodyclose // It ends with the connection.
 		if err != nil {
 			return err
 		}
