--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -426,6 +426,18 @@
 	}
 }
 
+// TestRetryBurstOfManyDaemons guards against daemons that together may retry more than
+// the burst allows, because each has a least part.
+func TestRetryBurstOfManyDaemons(t *testing.T) {
+	const total = 188
+	for _, daemons := range []int{1, 6, 74, 86, 100, 120, 188} {
+		burst := retryBurst(total, daemons)
+		if sum := burst * float64(daemons); sum > total+1e-9 || burst < 1 {
+			t.Errorf("%d daemons have bursts of %.2f, together %.0f of %d", daemons, burst, sum, total)
+		}
+	}
+}
+
 // TestConfigurationWithoutWatch guards against daemons that miss a configuration while
 // the store's watches return nothing, and against going back to an older one.
 func TestConfigurationWithoutWatch(t *testing.T) {
