quota: settle what a suspended daemon missed together with its refill

Cause: the refill of the whole time was cut off at the burst first; what the others had used in that time was charged afterwards.

Charges for silent peers now come before the refill of the same time, also when a report arrives first, so that only their sum is bounded by the burst.

TestSuspendedDaemon failed before, with a level of -1050 of a burst of 2000 while the others used half of the limit.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -161,7 +161,6 @@
 		return true, 0
 	}
 	lag := q.chargeSilent(now)
-	q.refill(now, b)
 	// A request may exceed the capacity. It needs a full bucket.
 	need := min(amount, b.limit.Burst)
 	fraction := q.admittedFraction(b, q.demand(now, organisation), lag)
@@ -296,6 +295,7 @@
 	if p.start != start {
 		p.start, p.uses = start, map[string]Use{}
 	}
+	q.chargeSilent(now)
 	span := now.Sub(p.lastReport)
 	retained := demandRetained(span)
 	for name, u := range uses {
@@ -307,7 +307,6 @@
 		if b == nil {
 			continue
 		}
-		q.refill(now, b)
 		b.level = min(b.level-(u.Admitted-last.Admitted)+p.assumed.Seconds()*b.limit.PerSecond, b.limit.Burst)
 		if span > 0 {
 			p.demand[name] = retained*p.demand[name] + (1-retained)*(u.requested()-last.requested())/span.Seconds()
@@ -367,9 +366,13 @@
 		part := d / time.Duration(len(q.peers)+1)
 		p.assumed += part
 		for _, b := range q.buckets {
-			q.refill(now, b)
 			b.level -= part.Seconds() * b.limit.PerSecond
 		}
 	}
+	// What the bucket lost and what it gained belong to the same time. Only their sum is
+	// bounded by the burst.
+	for _, b := range q.buckets {
+		q.refill(now, b)
+	}
 	return lag / time.Duration(max(reporting, 1))
 }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -174,3 +174,35 @@
 		t.Error("admitted more than the peer has left over")
 	}
 }
+
+// TestSuspendedDaemon guards against a daemon that refuses an organisation within its quota
+// after it was suspended, because what others used meanwhile is charged to a full bucket.
+func TestSuspendedDaemon(t *testing.T) {
+	const perSecond, burst, suspended = 1000.0, 2000.0, 6 * time.Second
+	for _, first := range []string{"report", "request"} {
+		q := NewLimiter()
+		q.Configure(start.Add(-time.Minute), map[string]Limit{"o": {perSecond, burst}})
+		peers := []string{"a", "b", "c", "d", "e", "f", "g"}
+		q.SetPeers(start, peers)
+		used := 0.0
+		report := func(now time.Time) {
+			for _, p := range peers {
+				q.Merge(now, p, 1, map[string]Use{"o": {Admitted: used}})
+			}
+		}
+		now := start
+		for ; now.Before(start.Add(3 * time.Second)); now = now.Add(100 * time.Millisecond) {
+			report(now)
+			used += 0.5 * perSecond / float64(len(peers)) * 0.1
+		}
+		now = now.Add(suspended)
+		used += 0.5 * perSecond / float64(len(peers)) * suspended.Seconds()
+		if first == "request" {
+			q.Take(now, "o", 1) // Before the reports have arrived it may be refused.
+		}
+		report(now)
+		if ok, _ := q.Take(now, "o", 100); !ok {
+			t.Errorf("%s first: refused at %+v, the others use half of the limit", first, q.State(now, "o"))
+		}
+	}
+}
