quota: charge a silent peer once for each moment, and never ask a caller back at once

Reports carry the time at which they were made. A report of another place, up to 0.65 s old, moved the time back up to which a silent peer had been charged, so that the span between was charged again. While a peer was silent, the others admitted too little.

A request that was refused because only a fraction of the demand is admitted, with a bucket above the reserve, got a Retry-After of 0. It is now at least the time in which the fraction changes (TestRetryAfterAboveReserve).

A first report without organisations no longer makes the next one panic; the decoder of the platform never returned such a map.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -96,7 +96,8 @@
 	// silent; 0 means defaultSilentAfter.
 	SilentAfter time.Duration
 	// Slack is the amount by which all daemons together may exceed a limit for a while.
-	Slack   float64
+	Slack float64
+
 	buckets map[string]*bucket
 	peers   map[string]*peer
 	// listed means that the peers were listed at least once.
@@ -139,7 +140,7 @@
 	}
 }
 
-// fillNew fills a new bucket. The new buckets of all daemons hold a capacity together.
+// fillNew fills a new bucket. The new buckets of all daemons hold one burst together.
 func (q *Limiter) fillNew(now time.Time, b *bucket) {
 	b.level = min(startBurstShare*b.limit.Burst, b.limit.Burst/float64(len(q.peers)+1))
 	b.refilledAt = now
@@ -152,9 +153,9 @@
 	}
 }
 
-// Take charges an amount to the organisation's bucket if the bucket holds it. Otherwise
-// it returns the time after which the bucket holds the amount, if nothing else is
-// charged.
+// Take charges an amount to the organisation's bucket if it may be admitted. Otherwise it
+// returns the time after which the bucket holds the amount, if nothing else is charged, or
+// a longer one in which the fraction of the demand that is admitted changes.
 func (q *Limiter) Take(now time.Time, organisation string, amount float64) (bool, time.Duration) {
 	b := q.buckets[organisation]
 	if b == nil || b.limit.PerSecond <= 0 {
@@ -166,13 +167,16 @@
 	fraction := q.admittedFraction(b, q.demand(now, organisation), lag)
 	b.demand.add(now, amount)
 	admitted := b.level >= need
+	var retryAfter time.Duration
 	if fraction < 1 {
-		need += max(q.reserve(b, lag), 0)
 		admitted = b.level > 0 && b.spendCredit(amount, fraction)
+		need += max(q.reserve(b, lag), 0)
+		retryAfter = lagsToReserve * lag
 	}
 	if !admitted {
 		b.use.Refused += amount
-		return false, time.Duration(max(need-b.level, 0) / b.limit.PerSecond * float64(time.Second))
+		untilRefilled := (need - b.level) / b.limit.PerSecond
+		return false, max(retryAfter, time.Duration(untilRefilled*float64(time.Second)))
 	}
 	b.level -= amount
 	b.use.Admitted += amount
@@ -267,13 +271,12 @@
 		s.Level, s.Use, s.Demand = b.level, b.use, q.demand(now, organisation)
 	}
 	for _, p := range q.peers {
-		age := now.Sub(p.lastReport)
 		switch {
 		case p.processEnded:
-		case age > cmp.Or(q.SilentAfter, defaultSilentAfter):
+		case !q.reporting(now, p):
 			s.Silent++
 		default:
-			s.OldestReport = max(s.OldestReport, age)
+			s.OldestReport = max(s.OldestReport, now.Sub(p.lastReport))
 		}
 	}
 	return s
@@ -289,7 +292,8 @@
 	}
 	if p.start == 0 {
 		// The sums of the first report may include old use. Charge only what follows.
-		*p = peer{start: start, lastReport: now, uses: maps.Clone(uses), demand: map[string]float64{}}
+		*p = peer{start: start, lastReport: now, uses: map[string]Use{}, demand: map[string]float64{}}
+		maps.Copy(p.uses, uses)
 		return
 	}
 	if p.start != start {
@@ -344,23 +348,31 @@
 	}
 }
 
+// reporting reports whether a peer has reported and is not silent.
+func (q *Limiter) reporting(now time.Time, p *peer) bool {
+	return p.start != 0 && now.Sub(p.lastReport) <= cmp.Or(q.SilentAfter, defaultSilentAfter)
+}
+
 // chargeSilent charges an equal part of the limit for each peer that is silent or has not
 // reported yet. It returns the mean age of the other peers' reports.
 func (q *Limiter) chargeSilent(now time.Time) (lag time.Duration) {
-	reporting := 0
+	count := 0
 	for _, p := range q.peers {
 		if p.processEnded {
 			continue
 		}
 		age := max(now.Sub(p.lastReport), 0)
-		if p.start != 0 && age <= cmp.Or(q.SilentAfter, defaultSilentAfter) {
-			reporting++
+		if q.reporting(now, p) {
+			count++
 			lag += age
 			continue
 		}
 		d := age
 		if p.chargedUntil.After(p.lastReport) {
-			d = max(now.Sub(p.chargedUntil), 0)
+			d = now.Sub(p.chargedUntil)
+		}
+		if d <= 0 { // The time of a report may be before that of the last charge.
+			continue
 		}
 		p.chargedUntil = now
 		part := d / time.Duration(len(q.peers)+1)
@@ -374,5 +386,5 @@
 	for _, b := range q.buckets {
 		q.refill(now, b)
 	}
-	return lag / time.Duration(max(reporting, 1))
+	return lag / time.Duration(max(count, 1))
 }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -206,3 +206,38 @@
 		}
 	}
 }
+
+// TestReportsOfPastTimes guards against charging a silent peer twice for the same time,
+// because reports of others that were made earlier arrive in between.
+func TestReportsOfPastTimes(t *testing.T) {
+	const perSecond, burst = 1000.0, 10_000.0
+	q := NewLimiter()
+	q.Configure(start.Add(-time.Minute), map[string]Limit{"o": {perSecond, burst}})
+	q.SetPeers(start, []string{"silent", "reporting"})
+	q.Merge(start, "silent", 1, nil)
+	q.Merge(start, "reporting", 1, nil)
+	for now := start; now.Before(start.Add(10 * time.Second)); now = now.Add(100 * time.Millisecond) {
+		q.Merge(now.Add(-500*time.Millisecond), "reporting", 1, nil)
+		q.Take(now, "o", 1)
+	}
+	// The silent peer is charged a third of what the bucket gains.
+	if level := q.State(start.Add(10*time.Second), "o").Level; level < burst-perSecond {
+		t.Errorf("the level is %.0f of %.0f", level, burst)
+	}
+}
+
+// TestRetryAfterAboveReserve guards against a refusal that invites the caller to return at
+// once, while the demand is too high and the bucket is not empty.
+func TestRetryAfterAboveReserve(t *testing.T) {
+	q := NewLimiter()
+	q.Configure(start.Add(-time.Minute), map[string]Limit{"o": {PerSecond: 1000, Burst: 10_000}})
+	q.SetPeers(start, []string{"p"})
+	q.Merge(start, "p", 1, nil)
+	now := start.Add(500 * time.Millisecond)
+	q.Merge(now, "p", 1, map[string]Use{"o": {Refused: 1e6}})
+	now = now.Add(400 * time.Millisecond)
+	ok, after := q.Take(now, "o", 100)
+	if ok || after < 400*time.Millisecond {
+		t.Errorf("admitted %v, return after %v with reports of 400 ms", ok, after)
+	}
+}
