gateway: let only delegates hold the duty

Cause: a daemon that acquires the duty before it has a view, or while so few daemons are listed that all are linked, keeps it once links are kept by place. Counts of usage and demand of other places reach only the delegates of a place, so that this holder reports and orders for its own place alone.

Ruled out: links between delegates that are missing; the quota rows go the same way.

A daemon that is not a delegate, or does not know yet, does not compete, and resigns if it holds the duty. One that becomes a delegate competes again.

TestDutyMovesToDelegate failed before (no move within 10 s). The test's store now returns deletions like the real one, for the second half of the test.

--- a/internal/gateway/duty.go
+++ b/internal/gateway/duty.go
@@ -107,7 +107,9 @@
 	revision       int64
 	reportedLoaded bool
 	reportSent     bool
-	plans          map[string]*scaling.Plan
+	// resigned means that the daemon has given the duty up.
+	resigned bool
+	plans    map[string]*scaling.Plan
 	// ordered holds the last orders.
 	ordered   map[orderKey]orderState
 	plannedAt time.Time
@@ -133,12 +135,7 @@
 		<-ctx.Done()
 		return nil
 	}
-	seed := uint64(g.start)
-	s := &dutyState{g: g, plans: map[string]*scaling.Plan{}, ordered: map[orderKey]orderState{}}
-	s.duty = lease.New(lease.Config{
-		Name: dutyName, Holder: g.Daemon, Incarnation: seed, Lease: g.Bounds.Lease, OrderLifetime: dutyCallTimeout,
-		Rand: rand.New(rand.NewPCG(seed, 2)), //nolint:gosec // Not for secrets.
-	})
+	s := &dutyState{g: g, duty: g.newDuty(), plans: map[string]*scaling.Plan{}, ordered: map[orderKey]orderState{}}
 	ticker := time.NewTicker(dutyInterval)
 	defer ticker.Stop()
 	for {
@@ -147,12 +144,17 @@
 			return nil
 		case <-ticker.C:
 		}
-		if g.draining.Load() {
+		eligible := g.eligibleForDuty()
+		switch {
+		case g.draining.Load(), !eligible && s.duty.Holds(bootClockNow()):
 			s.performActions(ctx, s.duty.Step(bootClockNow(), lease.Resign{}))
+			s.resigned = true
+		case eligible && s.resigned:
+			s.duty, s.resigned = g.newDuty(), false // Resigning is permanent.
 		}
 		g.holdsDuty.Store(s.duty.Holds(bootClockNow()))
-		if v := g.view.Load(); !g.holdsDuty.Load() && v != nil && !v.Delegate {
-			continue // Only delegates receive the status of all holders.
+		if !eligible {
+			continue
 		}
 		if t := g.peerHeldDutyAt.Load(); !g.holdsDuty.Load() && t != nil && time.Since(*t) < dutyHolderTimeout {
 			s.reportedLoaded = false
@@ -168,6 +170,22 @@
 	}
 }
 
+// newDuty returns the state machine of the duty's lease at this daemon.
+func (g *Gateway) newDuty() *lease.Duty {
+	seed := uint64(g.start)
+	return lease.New(lease.Config{
+		Name: dutyName, Holder: g.Daemon, Incarnation: seed, Lease: g.Bounds.Lease, OrderLifetime: dutyCallTimeout,
+		Rand: rand.New(rand.NewPCG(seed, 2)), //nolint:gosec // Not for secrets.
+	})
+}
+
+// eligibleForDuty reports whether this daemon may hold the duty. Only delegates receive the
+// usage counts, the demand and the status of other places.
+func (g *Gateway) eligibleForDuty() bool {
+	v := g.view.Load()
+	return v != nil && v.Delegate
+}
+
 // notePeerDuty records that a peer's status shows it as holder of the duty.
 func (g *Gateway) notePeerDuty(now time.Time, holds bool) {
 	if holds {
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -66,8 +66,10 @@
 func (s *store) remove(key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.revision++
-	delete(s.entries, key)
+	s.write(key, nil)
+	e := s.entries[key]
+	e.Deleted = true
+	s.entries[key] = e
 }
 
 // setFailures sets unavailable and watchesSilent.
@@ -85,8 +87,8 @@
 		return keyvalue.Entry{}, keyvalue.ErrUnavailable
 	}
 	e, ok := s.entries[key]
-	if !ok {
-		return e, keyvalue.ErrNotFound
+	if !ok || e.Deleted {
+		return keyvalue.Entry{}, keyvalue.ErrNotFound
 	}
 	return e, nil
 }
@@ -100,7 +102,7 @@
 	}
 	var list []keyvalue.Entry
 	for key, e := range s.entries {
-		if strings.HasPrefix(key, prefix) {
+		if strings.HasPrefix(key, prefix) && !e.Deleted {
 			list = append(list, e)
 		}
 	}
@@ -142,7 +144,7 @@
 	if s.unavailable {
 		return keyvalue.Entry{}, keyvalue.ErrUnavailable
 	}
-	if e := s.entries[key]; e.Revision != revision {
+	if e := s.entries[key]; !e.Deleted && e.Revision != revision || e.Deleted && revision != 0 {
 		return keyvalue.Entry{}, &keyvalue.ConflictError{Current: e}
 	}
 	return s.write(key, value), nil
@@ -220,8 +222,15 @@
 	t             *testing.T
 	store         *store
 	configuration Configuration
+	// reporter is the Reporter of gateways that start later; nil means none.
+	reporter Reporter
 }
 
+// discardReports is a Reporter that accepts every report.
+type discardReports struct{}
+
+func (discardReports) Report(context.Context, Holder, Report) error { return nil }
+
 func newTestEnv(t *testing.T) *testEnv {
 	env := &testEnv{t: t, store: newStore()}
 	env.configuration = Configuration{
@@ -318,7 +327,7 @@
 			GracePeriod: 3 * time.Second, RetryShare: 0.2, RetryBurst: 50, RetryWindow: 10 * time.Second, Lease: time.Second,
 			UsageWindow: time.Second, ReportWithin: 10 * time.Second,
 		},
-		Backends: &backend.Pool{Names: testHeaderNames}, Log: logr.Discard(),
+		Reporter: env.reporter, Backends: &backend.Pool{Names: testHeaderNames}, Log: logr.Discard(),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	gw := &testGateway{Gateway: g, ended: make(chan error, 1), cancel: cancel}
--- a/internal/gateway/topology_test.go
+++ b/internal/gateway/topology_test.go
@@ -155,3 +155,25 @@
 	}
 	waitFor(t, "the load is removed", func() bool { return runningInPlaceA("c-2") == 0 })
 }
+
+// TestDutyMovesToDelegate guards against a daemon that acquired the duty before there were
+// links by place and keeps it, although it does not receive the usage of other places.
+func TestDutyMovesToDelegate(t *testing.T) {
+	env := newTestEnv(t)
+	env.reporter = discardReports{}
+	first := env.startIn("a-2", "a", 3)
+	waitFor(t, "the first daemon holds the duty", first.holdsDuty.Load)
+	delegates := []*testGateway{env.startIn("a-0", "a", 3), env.startIn("a-1", "a", 3), env.startIn("b-0", "b", 3)}
+	waitFor(t, "a delegate holds the duty", func() bool {
+		held := false
+		for _, gw := range delegates {
+			held = held || gw.holdsDuty.Load()
+		}
+		return held && !first.holdsDuty.Load()
+	})
+	for _, gw := range delegates {
+		gw.cancel()
+		env.store.remove(daemonPrefix + gw.Daemon)
+	}
+	waitFor(t, "the first daemon is a delegate again and holds the duty", first.holdsDuty.Load)
+}
