--- /dev/null
+++ b/internal/gateway/retries_test.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// TestLeavingServerKeepsToAttemptLimit guards against a stream that is moved away from a
+// leaving server to more servers than its route allows.
+func TestLeavingServerKeepsToAttemptLimit(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		attempts int
+		// failures is the number of attempts that fail before the one that streams.
+		failures int
+	}{
+		{"first attempt is the last", 1, 0},
+		{"last attempt after a failure", 2, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			env := newTestEnv(t)
+			env.configuration.Version++
+			for i := range env.configuration.Routes {
+				env.configuration.Routes[i].Attempts = c.attempts
+			}
+			env.configure()
+			var runs atomic.Int32
+			streaming, release := make(chan string, 1), make(chan struct{})
+			servers := map[string]*backendServer{}
+			for _, id := range []string{"s1", "s2", "s3"} {
+				servers[id] = env.addServer(id, "model", func(rw http.ResponseWriter, r *http.Request) {
+					switch run := int(runs.Add(1)); {
+					case run <= c.failures:
+						rw.Header().Set("X-Signature", "s")
+						rw.WriteHeader(http.StatusInternalServerError)
+					case run == c.failures+1:
+						writeStream(rw, r, 4)
+						streaming <- id
+						<-release
+						r.Header.Set("Last-Event-Id", "4")
+						writeStream(rw, r, 9)
+					default:
+						writeStream(rw, r, 9)
+					}
+				})
+			}
+			gw := env.startReady("g1")
+			ended := make(chan reply, 1)
+			go func() { ended <- gw.send(t.Context(), http.MethodPost, "/stream/") }()
+			env.register(servers[<-streaming], "model", true)
+			time.Sleep(defaultLeavingTime) // Runs are stopped after leavingRunShare of it.
+			close(release)
+			if got := <-ended; got.err != nil || got.body != events(1, 9) {
+				t.Errorf("got %q, error %v", got.body, got.err)
+			}
+			if n := int(runs.Load()); n > c.attempts {
+				t.Errorf("the stream ran on %d servers, the route allows %d", n, c.attempts)
+			}
+		})
+	}
+}
+
+// TestRetryBurstOfManyDaemons guards against daemons that together may retry more than
+// the burst allows, because each has a least part.
+func TestRetryBurstOfManyDaemons(t *testing.T) {
+	const total = 188
+	for _, daemons := range []int{1, 6, 74, 86, 100, 120, 188} {
+		burst := retryBurst(total, daemons)
+		if sum := burst * float64(daemons); sum > total+1e-9 || burst < 1 {
+			t.Errorf("%d daemons have bursts of %.2f, together %.0f of %d", daemons, burst, sum, total)
+		}
+	}
+}
