--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -35,8 +36,22 @@
 	ErrNotSent = errors.ConstError("request not sent")
 	// ErrIncomplete reports a missing or incomplete response. The request may have run.
 	ErrIncomplete = errors.ConstError("response broke off")
+	// ErrConnectionLost reports in addition to ErrIncomplete that the server's side ended
+	// the connection. A server that crashes ends all of its connections.
+	ErrConnectionLost = errors.ConstError("connection lost")
 )
 
+// incomplete returns an ErrIncomplete with its cause.
+func incomplete(step string, cause error) error {
+	err := errors.Annotatef(ErrIncomplete, "%s%v", step, cause)
+	for _, ended := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(cause, ended) {
+			return errors.WithType(err, ErrConnectionLost)
+		}
+	}
+	return err
+}
+
 // Request is a request to a backend server.
 type Request struct {
 	Method string
@@ -130,11 +145,11 @@
 		if n == 0 {
 			return nil, errors.Annotatef(ErrNotSent, "write: %v", err)
 		}
-		return nil, errors.Annotatef(ErrIncomplete, "write: %v", err)
+		return nil, incomplete("write: ", err)
 	}
 	if err := r.readHead(q, p.Names); err != nil {
 		r.abandon()
-		return nil, errors.Annotatef(ErrIncomplete, "%v", err)
+		return nil, incomplete("", err)
 	}
 	return r, nil
 }
@@ -213,7 +228,7 @@
 	case errors.Is(err, io.EOF):
 		r.bodyComplete = true
 	default:
-		err = errors.Annotatef(ErrIncomplete, "body: %v", err)
+		err = incomplete("body: ", err)
 	}
 	return n, err
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -367,5 +367,6 @@
 func (s *session) logAttempt(server routing.Server, ending dispatch.Ending, err error) {
 	s.g.Log.Info(logs.AttemptEnded, logs.RequestID, s.call.ID, "Attempt", s.attemptsSent, "Server", server.ID,
 		"Ending", ending.String(), "Error", err.Error(), "Took", time.Since(s.received).Milliseconds(),
-		"MayHaveRun", s.attemptsMayHaveRun, "RouteAttempts", s.route.Attempts)
+		"MayHaveRun", s.attemptsMayHaveRun, "RouteAttempts", s.route.Attempts,
+		"ConnectionLost", errors.Is(err, backend.ErrConnectionLost), "Fingerprint", s.fingerprintText())
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -354,7 +355,16 @@
 	s.g.requestMetrics.recordOutcome(outcome, took)
 	s.g.Log.Info(logs.RequestEnded, logs.RequestID, s.call.ID, "Route", name, "Service", s.service, "Organisation", s.organisation(),
 		"Rank", s.rank, "Allowed", s.deadline.Sub(s.received).Milliseconds(), logs.Outcome, outcome, "Status", status, "Detail", detail, "Took", took.Milliseconds(), "Sent", s.attemptsSent,
-		"Ran", s.mayHaveRun, "Events", s.stream.eventCount, "Charged", s.quotaCharged)
+		"Ran", s.mayHaveRun, "Events", s.stream.eventCount, "Charged", s.quotaCharged, "Fingerprint", s.fingerprintText())
+}
+
+// fingerprintText returns the fingerprint in hexadecimal, or an empty string for a request
+// that was not admitted.
+func (s *session) fingerprintText() string {
+	if s.work == nil {
+		return ""
+	}
+	return fmt.Sprintf("%016x", uint64(s.work.Fingerprint))
 }
 
 // jitter returns a random time between d and 1.5 times d.
