gateway, quarantine: refuse a request that crashes servers at all daemons

Cause: no daemon related a crash to a request. The quarantine list existed, but only the product's own interface reports crashes to it. Class: a protection that one of two assemblies does not connect.

Evidence: none of the 1,388 requests in the collected logs ended as Poisonous, while 52 attempts lost their connection in five bursts.

Why this works: daemons send each other the runs at which a server closed the connection, and refuse a request at three crashed servers of which at least two ended in turn, so that servers that end together accuse nobody. A complete answer clears. The store keeps what is refused for daemons that start later. The list was not used: it delays suspects for 3 s and hands them over to one daemon, which callers with targets of 300 ms can't wait for.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -27,6 +27,9 @@
 	// the requests, so that retries do not overload a failing fleet further.
 	retryBudgetShare = 0.1
 	retryBudgetBurst = 100
+	// quarantineRetryAfter is the Retry-After of a request that is refused as a suspect,
+	// whose evidence does not change soon.
+	quarantineRetryAfter = 30 * time.Second
 	// noServerRetryAfter is the base of Retry-After when a service has no backend server.
 	noServerRetryAfter = time.Second
 )
@@ -37,6 +40,9 @@
 	Request     admission.Request
 	Call        routing.Call
 	Fingerprint quarantine.Fingerprint
+	// Suspects are the fingerprints of what may crash a server that runs the request, for
+	// Dispatcher.Evidence.
+	Suspects []quarantine.Fingerprint
 	// Durable marks work that was accepted earlier: without a server it waits instead of
 	// being refused, and its retries are not counted in the retry budget.
 	Durable bool
@@ -76,7 +82,10 @@
 	Queue      *admission.Queue
 	Router     *routing.Router
 	Quarantine *quarantine.List
-	Rand       *rand.Rand
+	// Evidence refuses suspects without isolating them first; nil means that only
+	// Quarantine does.
+	Evidence *quarantine.Evidence
+	Rand     *rand.Rand
 	// ServersPreempt is set when the backend servers themselves preempt for more urgent
 	// requests, so that the Dispatcher does not.
 	ServersPreempt bool
@@ -137,12 +146,12 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	w.grants = make(chan Grant, 1)
-	if d.Quarantine.Verdict(now, w.Fingerprint) == quarantine.Refused {
-		d.counts.Refused++
-		return problem.New(problem.Poisonous, "the same request has crashed backend servers")
-	}
 	// Another daemon accepted the request and may have sent it to a server.
 	w.mayHaveRun = w.Request.Accepted
+	if p := d.suspicion(now, w); p != nil {
+		d.counts.Refused++
+		return p
+	}
 	decision := d.Queue.Offer(now, w.Request)
 	if decision.Queued && !w.Durable && !w.Request.Accepted && !d.hasServer(w.Request.Service) {
 		// The offer is counted as demand, for which placement starts servers.
@@ -198,6 +207,7 @@
 	}
 	d.Router.Answered(now, id, answer)
 	d.Quarantine.Finished(now, w.Fingerprint)
+	d.survived(now, w)
 	d.endWork(now, w, used)
 }
 
@@ -275,11 +285,11 @@
 	}
 	d.Quarantine.Stopped(w.Fingerprint)
 	used := admission.Usage{ID: id, OutputTokens: w.generatedTokens, PromptTokens: w.Request.PromptTokens, Failed: true}
-	if d.Quarantine.Verdict(now, w.Fingerprint) == quarantine.Refused {
+	w.mayHaveRun = w.mayHaveRun || ending.mayHaveStarted()
+	if p := d.suspicion(now, w); p != nil {
 		d.endWork(now, w, used)
-		return problem.New(problem.Poisonous, "the request has crashed backend servers")
+		return p
 	}
-	w.mayHaveRun = w.mayHaveRun || ending.mayHaveStarted()
 	// A retry puts no load on a server that was not reached, so it costs no budget.
 	if ending != Stopped && ending != NotSent && !w.Durable && !d.retryBudget.TrySpend() {
 		d.endWork(now, w, used)
@@ -297,6 +307,24 @@
 	return nil
 }
 
+// suspicion returns the problem with which a request is refused that may not run because
+// of the servers that crashed, or nil.
+func (d *Dispatcher) suspicion(now time.Time, w *Work) *problem.Problem {
+	if d.Quarantine.Verdict(now, w.Fingerprint) == quarantine.Refused {
+		return problem.New(problem.Poisonous, "the same request has crashed backend servers")
+	}
+	if d.Evidence == nil {
+		return nil
+	}
+	suspect, refused := d.Evidence.Refuses(now, w.Suspects)
+	if !refused {
+		return nil
+	}
+	p := problem.New(problem.Quarantined, "backend servers crashed at suspect %016x", uint64(suspect))
+	p.RetryAfter = quarantineRetryAfter
+	return w.refusalProblem(p)
+}
+
 // recordCrash marks the requests in flight at a server as suspects. Each of them may
 // report the crash; the quarantine list counts a server incarnation once.
 func (d *Dispatcher) recordCrash(now time.Time, s routing.Server) {
@@ -365,15 +393,15 @@
 // tryGrant chooses a server for a dequeued request, or ends the request. It returns
 // false when the request has to wait.
 func (d *Dispatcher) tryGrant(now time.Time, w *Work) bool {
-	verdict := d.Quarantine.Verdict(now, w.Fingerprint)
-	if verdict == quarantine.Refused {
+	if p := d.suspicion(now, w); p != nil {
 		// Another copy of the request crashed a server while this copy was queued.
 		d.Queue.Done(now, admission.Usage{ID: w.Request.ID, Failed: true})
 		delete(d.works, w.Request.ID)
 		d.counts.Refused++
-		w.grants <- Grant{Problem: problem.New(problem.Poisonous, "the same request has crashed backend servers")}
+		w.grants <- Grant{Problem: p}
 		return true
 	}
+	verdict := d.Quarantine.Verdict(now, w.Fingerprint)
 	if ready, _ := d.Quarantine.Ready(now, w.Fingerprint); verdict != quarantine.Normal && !ready {
 		return false
 	}
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -309,6 +309,7 @@
 		c.peers[from.Daemon] = p
 		c.changed = true
 		c.g.Log.Info("peer heard", "Peer", from.Daemon, "PeerPlace", from.Place)
+		c.g.sendRefusedSuspects(now, from.Daemon)
 	}
 	if p.draining != s.Draining {
 		p.draining, c.changed = s.Draining, true
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -204,7 +204,32 @@
 // TestRequestThatCrashesServersIsRefusedByAllDaemons guards against a request that crashes
 // server after server because each daemon takes it for a new one.
 func TestRequestThatCrashesServersIsRefusedByAllDaemons(t *testing.T) {
-	env := newTestEnv(t)
+	for _, c := range []struct {
+		name   string
+		places []string
+		// meshMax is Gateway.MeshMax.
+		meshMax int
+	}{
+		{"mesh", []string{"a"}, crashGateways},
+		{"links by place", []string{"a", "b", "c"}, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			env := newTestEnv(t)
+			servers := env.addCrashingServers(12)
+			gateways := env.startLinked(c.places, c.meshMax)
+			load := crashLoad{
+				sound:          func(n int) (string, []string) { return fmt.Sprintf("/safe/sound/%d", n), nil },
+				poisonous:      func(int) (string, []string) { return "/safe/poison", nil },
+				soundPerSecond: 50, poisonousPerSecond: 10, calm: 2 * time.Second, poisoned: 8 * time.Second,
+			}
+			before, after := load.run(t, gateways)
+			servers.check(3, before, after)
+		})
+	}
+}
+
+// addCrashingServers starts plain servers, which requests with the path /safe/poison crash.
+func (env *testEnv) addCrashingServers(n int) *crashingServers {
 	servers := &crashingServers{
 		env: env, service: "plain", answer: func(w http.ResponseWriter, r *http.Request) {
 			time.Sleep(20 * time.Millisecond)
@@ -212,37 +237,63 @@
 		},
 		poisonous: func(r *http.Request) bool { return strings.HasPrefix(r.URL.Path, "/safe/poison") },
 	}
-	for i := range 12 {
+	env.t.Cleanup(servers.close)
+	for i := range n {
 		servers.start(fmt.Sprint("s", i), 1, "")
 	}
-	t.Cleanup(servers.close)
-	gateways := env.startMesh(crashGateways)
-	load := crashLoad{
-		sound:          func(n int) (string, []string) { return fmt.Sprintf("/safe/sound/%d", n), nil },
-		poisonous:      func(int) (string, []string) { return "/safe/poison", nil },
-		soundPerSecond: 50, poisonousPerSecond: 10, calm: 2 * time.Second, poisoned: 8 * time.Second,
-	}
-	before, after := load.run(t, gateways)
-	servers.check(3, before, after)
+	return servers
 }
 
-// startMesh starts daemons and waits until they hear each other.
-func (env *testEnv) startMesh(n int) []*testGateway {
+// startLinked starts crashGateways daemons in turn in the places and waits until all are
+// linked.
+func (env *testEnv) startLinked(places []string, meshMax int) []*testGateway {
 	env.t.Helper()
 	var gateways []*testGateway
-	for i := range n {
-		gateways = append(gateways, env.startReady(fmt.Sprint("g", i)))
+	for i := range crashGateways {
+		gateways = append(gateways, env.startIn(fmt.Sprint("g", i), places[i%len(places)], meshMax))
 	}
 	for _, gw := range gateways {
 		waitFor(env.t, "daemons hear each other", func() bool {
+			if !gw.Ready() {
+				return false
+			}
 			alive := 0
 			for _, d := range gw.view.Load().Daemons {
 				if d.Alive {
 					alive++
 				}
 			}
-			return alive == n
+			return alive == crashGateways
 		})
 	}
 	return gateways
 }
+
+// TestRefusedSuspectOutlastsDaemons guards against running a request again that crashed
+// servers because all daemons that knew of it have ended.
+func TestRefusedSuspectOutlastsDaemons(t *testing.T) {
+	env := newTestEnv(t)
+	servers := env.addCrashingServers(5)
+	first := env.startReady("g1")
+	waitFor(t, "the suspect is recorded in the store", func() bool {
+		first.send(t.Context(), http.MethodPost, "/safe/poison")
+		entries, _, err := env.store.List(t.Context(), suspectPrefix)
+		return err == nil && len(entries) == 1
+	})
+	first.cancel()
+	second := env.startReady("g2")
+	waitFor(t, "the suspect is read from the store", func() bool {
+		return len(second.dispatcher.RefusedSuspects(time.Now())) == 1
+	})
+	_, before := servers.lateSends(1)
+	got := second.send(t.Context(), http.MethodPost, "/safe/poison")
+	if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+		t.Errorf("got %+v, want 503 with Retry-After", got)
+	}
+	if _, after := servers.lateSends(1); after != before {
+		t.Errorf("%d crashes, %d before", after, before)
+	}
+	if got := second.send(t.Context(), http.MethodPost, "/safe/other"); got.status != http.StatusOK {
+		t.Errorf("another request got %+v", got)
+	}
+}
--- /dev/null
+++ b/internal/gateway/evidence.go
@@ -0,0 +1,211 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+
+	"apricotbridge/internal/keyvalue"
+	"apricotbridge/internal/message"
+)
+
+const (
+	// evidenceInterval is how often evidence that changed here is sent to the peers. A
+	// batch holds the requests of all servers that crash at the same moment.
+	evidenceInterval = 50 * time.Millisecond
+	// suspectPrefix is the key prefix of the records of refused suspects. They outlast the
+	// daemons.
+	suspectPrefix = "suspects/"
+	// recordInterval is how often a daemon looks for refused suspects without a record.
+	recordInterval = 500 * time.Millisecond
+	// maxRecordDelay bounds the random wait before a record is written. Usually the first
+	// daemon's record reaches the others before they write theirs.
+	maxRecordDelay = time.Second
+)
+
+// sendEvidence sends the evidence that changed here to the peers.
+func (g *Gateway) sendEvidence(ctx context.Context) error {
+	ticker := time.NewTicker(evidenceInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		if records := g.dispatcher.TakeEvidence(time.Now()); len(records) > 0 {
+			g.broadcastEvidence(records, func(message.Hello) bool { return true })
+		}
+	}
+}
+
+// broadcastEvidence sends records to the linked peers for which include returns true.
+func (g *Gateway) broadcastEvidence(records []message.SuspectRecord, include func(message.Hello) bool) {
+	sendToLinked(g, message.KindEvidence, message.Evidence{Records: records}, include)
+}
+
+// sendRefusedSuspects sends a new peer the evidence on the suspects that are refused.
+func (g *Gateway) sendRefusedSuspects(now time.Time, peer string) {
+	if records := g.dispatcher.RefusedSuspects(now); len(records) > 0 {
+		g.broadcastEvidence(records, func(p message.Hello) bool { return p.Daemon == peer })
+	}
+}
+
+// handleEvidence merges the evidence of a peer. With links by place, a delegate forwards
+// what is new: from its own place to other places, and from those to its own.
+func (g *Gateway) handleEvidence(now time.Time, from message.Hello, m message.Evidence) {
+	news := g.dispatcher.MergeEvidence(now, m.Records)
+	if v := g.view.Load(); len(news) == 0 || !v.byPlace() || !v.Delegate {
+		return
+	}
+	fromOwnPlace := from.Place == g.Place
+	g.broadcastEvidence(news, func(p message.Hello) bool { return (p.Place != g.Place) == fromOwnPlace })
+}
+
+// suspectEntry is the value of a suspect's entry in the store.
+type suspectEntry struct {
+	// WrittenAt is the time of day in Unix milliseconds to which the ages in Record refer.
+	WrittenAt int64                 `json:"WrittenAt"`
+	Record    message.SuspectRecord `json:"Record"`
+}
+
+func suspectKey(suspect uint64) string { return suspectPrefix + fmt.Sprintf("%016x", suspect) }
+
+// watchSuspects merges the records of refused suspects in the store, so that a daemon
+// refuses them also when it has started after the crashes or has no link to its peers.
+func (g *Gateway) watchSuspects(ctx context.Context) error {
+	g.watchPrefix(ctx, "suspects", suspectPrefix, func(entries []keyvalue.Entry, fullList bool) {
+		now, wallClock := time.Now(), time.Now()
+		var records []message.SuspectRecord
+		recorded, deleted := map[uint64]int64{}, map[uint64]bool{}
+		for _, e := range entries {
+			suspect, err := strconv.ParseUint(e.Key[len(suspectPrefix):], 16, 64)
+			if err != nil {
+				g.Log.Info("entry of a suspect not readable", "Key", e.Key, "Error", err.Error())
+				continue
+			}
+			if e.Deleted {
+				deleted[suspect] = true
+				continue
+			}
+			record, err := decodeSuspect(wallClock, e.Value)
+			if err != nil {
+				g.Log.Info("entry of a suspect not readable", "Key", e.Key, "Error", err.Error())
+				continue
+			}
+			recorded[suspect] = e.Revision
+			records = append(records, record)
+		}
+		// A suspect is refused before its record is known, so that the record is not taken
+		// for an unneeded one.
+		g.dispatcher.MergeEvidence(now, records)
+		g.recordedSuspectsMu.Lock()
+		defer g.recordedSuspectsMu.Unlock()
+		if fullList {
+			clear(g.recordedSuspects)
+		}
+		maps.Copy(g.recordedSuspects, recorded)
+		maps.DeleteFunc(g.recordedSuspects, func(suspect uint64, _ int64) bool { return deleted[suspect] })
+	})
+	return nil
+}
+
+// decodeSuspect reads a suspect's entry and converts its ages to the present.
+func decodeSuspect(wallClock time.Time, value []byte) (message.SuspectRecord, error) {
+	var entry suspectEntry
+	if err := json.Unmarshal(value, &entry); err != nil {
+		return message.SuspectRecord{}, err
+	}
+	// The writer's clock may be ahead.
+	age := max(wallClock.UnixMilli()-entry.WrittenAt, 0)
+	record := entry.Record
+	if record.Cleared != nil {
+		*record.Cleared += age
+	}
+	for i := range record.Crashes {
+		record.Crashes[i].Began += age
+		record.Crashes[i].Ended += age
+	}
+	return record, nil
+}
+
+// recordSuspects keeps a record in the store of each suspect that is refused.
+func (g *Gateway) recordSuspects(ctx context.Context) error {
+	dep := dependency{g: g, name: "suspect records"}
+	for sleep(ctx, recordInterval) {
+		refused := g.dispatcher.RefusedSuspects(time.Now())
+		if len(g.withoutRecord(refused)) > 0 {
+			sleep(ctx, rand.N(maxRecordDelay)) //nolint:gosec // Not for secrets.
+		}
+		for _, record := range g.withoutRecord(refused) {
+			err := g.writeSuspect(ctx, record)
+			dep.noteResult(err)
+			if err != nil {
+				break
+			}
+		}
+		g.deleteUnneededRecords(ctx)
+	}
+	return nil
+}
+
+// withoutRecord returns the records that the store does not have.
+func (g *Gateway) withoutRecord(records []message.SuspectRecord) []message.SuspectRecord {
+	g.recordedSuspectsMu.Lock()
+	defer g.recordedSuspectsMu.Unlock()
+	var missing []message.SuspectRecord
+	for _, r := range records {
+		if _, ok := g.recordedSuspects[r.Suspect]; !ok {
+			missing = append(missing, r)
+		}
+	}
+	return missing
+}
+
+func (g *Gateway) writeSuspect(ctx context.Context, record message.SuspectRecord) error {
+	value, err := json.Marshal(suspectEntry{WrittenAt: time.Now().UnixMilli(), Record: record})
+	if err != nil {
+		return errors.Annotate(err, "encode suspect")
+	}
+	written, err := g.Store.CompareAndSwap(ctx, suspectKey(record.Suspect), value, 0, "")
+	var conflict *keyvalue.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		written = conflict.Current // Another daemon wrote it.
+	case err != nil:
+		return errors.Annotate(err, "write suspect")
+	default:
+		g.Log.Info("suspect recorded", "Suspect", fmt.Sprintf("%016x", record.Suspect), "Crashes", len(record.Crashes))
+	}
+	g.recordedSuspectsMu.Lock()
+	g.recordedSuspects[record.Suspect] = written.Revision
+	g.recordedSuspectsMu.Unlock()
+	return nil
+}
+
+// deleteUnneededRecords deletes the records of suspects that are no longer refused. Only the
+// holder of the duty does so, because all daemons come to the same result.
+func (g *Gateway) deleteUnneededRecords(ctx context.Context) {
+	if !g.holdsDuty.Load() {
+		return
+	}
+	g.recordedSuspectsMu.Lock()
+	unneeded := maps.Clone(g.recordedSuspects)
+	g.recordedSuspectsMu.Unlock()
+	for _, r := range g.dispatcher.RefusedSuspects(time.Now()) {
+		delete(unneeded, r.Suspect)
+	}
+	for suspect, revision := range unneeded {
+		if err := g.Store.Delete(ctx, suspectKey(suspect), revision); err != nil {
+			g.Log.Info("record of a suspect not deleted", "Suspect", fmt.Sprintf("%016x", suspect), "Error", err.Error())
+			return
+		}
+		g.Log.Info("record of a suspect deleted", "Suspect", fmt.Sprintf("%016x", suspect))
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -144,6 +144,11 @@
 
 	demand *demandTracker
 
+	// recordedSuspects holds the suspects that have a record in the store, with its
+	// revision.
+	recordedSuspectsMu sync.Mutex
+	recordedSuspects   map[uint64]int64
+
 	// holdsDuty means that this daemon holds the duty (see dutyName). peerHeldDutyAt is
 	// when a peer's status last showed that the peer holds it.
 	holdsDuty      atomic.Bool
@@ -167,11 +172,13 @@
 	router := routing.New(routing.Options{MaxBacklog: maxServerBacklog, SharedLoads: true})
 	g.dispatcher = dispatch.New(queue, router, quarantine.New(quarantine.Options{}), random)
 	g.dispatcher.ServersPreempt = true
+	g.dispatcher.Evidence = &quarantine.Evidence{}
 	g.events = make(chan func(*control), 1024)
 	g.quotas = quota.NewLimiter()
 	g.quotas.Slack = g.Bounds.QuotaSlack
 	g.counts, g.clock = accounting.NewUsageCounter(), accounting.NewClock()
 	g.demand = newDemandTracker()
+	g.recordedSuspects = map[uint64]int64{}
 	g.rows, g.placeLoads = map[string]daemonRow{}, map[string]placeLoads{}
 	g.drained = make(chan struct{})
 	if g.Metrics == nil {
@@ -220,6 +227,9 @@
 		{"daemons", g.watchDaemons},
 		{"status", g.sendStatus},
 		{"rows", g.relayRows},
+		{"evidence", g.sendEvidence},
+		{"suspects", g.watchSuspects},
+		{"suspect records", g.recordSuspects},
 		{"duty", g.runDuty},
 		{"callers", g.serveCallers},
 		{"ticks", g.tick},
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -38,6 +38,10 @@
 	lastEventID string
 	// eventCount is the number of events written to the caller.
 	eventCount int
+	// firstEventAt is when the running attempt delivered its first event, and survived
+	// means that its server did not crash for survivalTime after it.
+	firstEventAt time.Time
+	survived     bool
 	// hasUnnumbered means that an event had no id, so that the stream can't be resumed.
 	hasUnnumbered bool
 }
@@ -53,6 +57,7 @@
 		cancel(nil)
 		<-watchEnded
 	}()
+	s.stream.firstEventAt, s.stream.survived = time.Time{}, false
 	var pending []byte
 	buffer := make([]byte, relayBufferSize)
 	for {
@@ -74,7 +79,7 @@
 			s.completeStream(res, server)
 			return attemptResult{done: true}
 		case errors.Is(err, io.EOF):
-			return s.handleBrokenStream(ctx, server, errors.New("stream ended within an event"))
+			return s.handleBrokenStream(ctx, server, errors.WithType(errors.New("stream ended within an event"), backend.ErrConnectionLost))
 		case err != nil:
 			return s.handleBrokenStream(ctx, server, err)
 		case len(pending) > maxEventBytes:
@@ -117,6 +122,7 @@
 	if s.r.Context().Err() != nil {
 		s.abortDisconnected("at server " + server.ID)
 	}
+	s.noteConnectionLost(server, err)
 	ending := dispatch.Broken
 	if errors.Is(context.Cause(ctx), errServerLeaving) {
 		ending = dispatch.Stopped
@@ -137,8 +143,9 @@
 	if !s.stream.headersSent {
 		s.writeHeaders(res)
 	}
+	now := time.Now()
+	s.noteSurvival(now)
 	if s.stream.eventCount == 0 {
-		now := time.Now()
 		s.g.dispatcher.FirstToken(now, s.call.ID)
 		s.g.requestMetrics.recordFirstEvent(now.Sub(s.received))
 		s.countUsage()
@@ -157,6 +164,22 @@
 	return nil
 }
 
+// survivalTime is how long after the first event a stream that crashes its server has done
+// so.
+const survivalTime = time.Second
+
+// noteSurvival records a stream that has run for survivalTime as one that does not crash
+// its server.
+func (s *session) noteSurvival(now time.Time) {
+	switch t := &s.stream; {
+	case t.firstEventAt.IsZero():
+		t.firstEventAt = now
+	case !t.survived && now.Sub(t.firstEventAt) >= survivalTime:
+		t.survived = true
+		s.g.dispatcher.Survived(now, s.call.ID)
+	}
+}
+
 // writeHeaders writes the response headers of the first server that answers.
 func (s *session) writeHeaders(res *backend.Response) {
 	s.stream.headersSent = true
--- a/internal/gateway/rows.go
+++ b/internal/gateway/rows.go
@@ -244,9 +244,14 @@
 	if len(m.Rows) == 0 && len(m.Loads) == 0 {
 		return
 	}
-	data, err := message.Encode(message.KindRows, m)
+	sendToLinked(g, message.KindRows, m, include)
+}
+
+// sendToLinked sends a message to the linked peers for which include returns true.
+func sendToLinked[B message.Body](g *Gateway, kind message.Kind, body B, include func(message.Hello) bool) {
+	data, err := message.Encode(kind, body)
 	if err != nil {
-		g.Log.Error(err, "rows not sent")
+		g.Log.Error(err, "message not sent", "Kind", kind)
 		return
 	}
 	v := g.view.Load()
@@ -254,8 +259,8 @@
 		if !v.hasLink(g.Place, p) || !include(p) {
 			continue
 		}
-		if err := g.hub.Send(p.Daemon, message.KindRows, data); err != nil {
-			g.Log.V(1).Info("rows not sent", "Peer", p.Daemon, "Error", err.Error())
+		if err := g.hub.Send(p.Daemon, kind, data); err != nil {
+			g.Log.V(1).Info("message not sent", "Kind", kind, "Peer", p.Daemon, "Error", err.Error())
 		}
 	}
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -260,6 +260,7 @@
 		},
 		Fingerprint: quarantine.FingerprintOf(s.organisation(), s.service, append([]byte(s.r.RequestURI+"\n"), s.body...)),
 	}
+	w.Suspects = []quarantine.Fingerprint{w.Fingerprint}
 	if s.route.Stream {
 		s.stop = make(chan bool, 1)
 		w.Stop = func(leaving bool) {
--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -228,18 +229,38 @@
 
 // watchDaemons watches the daemons' entries and passes the list to the control goroutine.
 func (g *Gateway) watchDaemons(ctx context.Context) error {
-	dep := dependency{g: g, name: "daemons"}
-	revision := int64(-1)
 	known := map[string]Daemon{}
+	g.watchPrefix(ctx, "daemons", daemonPrefix, func(entries []keyvalue.Entry, fullList bool) {
+		if fullList {
+			clear(known)
+		}
+		for _, e := range entries {
+			g.updateDaemon(known, e)
+		}
+		list := maps.Clone(known)
+		g.post(func(c *control) { c.setDaemons(time.Now(), list) })
+		if len(entries) > 0 {
+			// All daemons may register at the same time.
+			sleep(ctx, membershipPause)
+		}
+	})
+	return nil
+}
+
+// watchPrefix passes the entries with a prefix to apply, first in a full list and then as
+// they change, until the context ends.
+func (g *Gateway) watchPrefix(ctx context.Context, name, prefix string, apply func(entries []keyvalue.Entry, fullList bool)) {
+	dep := dependency{g: g, name: name}
+	revision := int64(-1)
 	for ctx.Err() == nil {
 		var entries []keyvalue.Entry
 		var next int64
 		var err error
 		fullList := revision < 0
 		if fullList {
-			entries, next, err = g.Store.List(ctx, daemonPrefix)
+			entries, next, err = g.Store.List(ctx, prefix)
 		} else {
-			entries, next, err = g.Store.Changes(ctx, daemonPrefix, revision, watchTimeout)
+			entries, next, err = g.Store.Changes(ctx, prefix, revision, watchTimeout)
 		}
 		dep.noteResult(err)
 		if err != nil {
@@ -250,24 +271,9 @@
 			sleepBeforeRetry(ctx)
 			continue
 		}
-		if fullList {
-			clear(known)
-		}
-		for _, e := range entries {
-			g.updateDaemon(known, e)
-		}
 		revision = next
-		list := make(map[string]Daemon, len(known))
-		for id, d := range known {
-			list[id] = d
-		}
-		g.post(func(c *control) { c.setDaemons(time.Now(), list) })
-		if len(entries) > 0 {
-			// All daemons may register at the same time.
-			sleep(ctx, membershipPause)
-		}
+		apply(entries, fullList)
 	}
-	return nil
 }
 
 func (g *Gateway) updateDaemon(known map[string]Daemon, e keyvalue.Entry) {
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -59,6 +59,13 @@
 			return
 		}
 		g.handleRows(now, m)
+	case message.KindEvidence:
+		m, err := message.Decode[message.Evidence](e)
+		if err != nil {
+			g.Log.Info("evidence not readable", "Peer", from.Daemon, "Error", err.Error())
+			return
+		}
+		g.handleEvidence(now, from, m)
 	case message.KindListing:
 		m, err := message.Decode[message.Listing](e)
 		if err != nil {
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -20,6 +20,19 @@
 	Value []byte `json:"Value"`
 }
 
+// CrashedRun is a run of a request that ended with the crash of its backend
+// server.
+type CrashedRun struct {
+	// Milliseconds since the request was sent to the server.
+	Began int64 `json:"Began"`
+
+	// Milliseconds since the server closed the connection.
+	Ended int64 `json:"Ended"`
+
+	// Hash of the server's id and incarnation.
+	Server uint64 `json:"Server"`
+}
+
 // Daemon is one daemon, as seen by the sender.
 type Daemon struct {
 	// Address on which it serves callers.
@@ -102,6 +115,12 @@
 	Kind Kind `json:"Kind"`
 }
 
+// Evidence carries what the sender knows of crashes of backend servers.
+type Evidence struct {
+	// Records that changed.
+	Records []SuspectRecord `json:"Records"`
+}
+
 // Fetch requests the configuration of the receiver.
 type Fetch struct {
 	// Revision of the sender; the receiver answers only with a higher one.
@@ -260,6 +279,7 @@
 const KindCancel Kind = "Cancel"
 const KindConfiguration Kind = "Configuration"
 const KindDigest Kind = "Digest"
+const KindEvidence Kind = "Evidence"
 const KindFetch Kind = "Fetch"
 const KindForward Kind = "Forward"
 const KindForwardAnswer Kind = "ForwardAnswer"
@@ -462,6 +482,19 @@
 	Last time.Time `json:"Last"`
 }
 
+// SuspectRecord holds the crashes of the backend servers that ran one suspect.
+type SuspectRecord struct {
+	// Milliseconds since a run of the suspect last did not crash its server; absent
+	// if that is not known.
+	Cleared *int64 `json:"Cleared,omitempty,omitzero"`
+
+	// Runs after that at which the server crashed.
+	Crashes []CrashedRun `json:"Crashes"`
+
+	// Fingerprint of the suspect.
+	Suspect uint64 `json:"Suspect"`
+}
+
 // Usage carries usage counters.
 type Usage struct {
 	// Counters that changed since the last report.
--- /dev/null
+++ b/internal/quarantine/evidence.go
@@ -0,0 +1,303 @@
+package quarantine
+
+import (
+	"cmp"
+	"encoding/binary"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"apricotbridge/internal/message"
+)
+
+const (
+	// maxRequestCrashes is the number of servers that a request may crash before it is
+	// refused.
+	maxRequestCrashes = 3
+	// minRequestSequence is the number of these crashes that must have come one after the
+	// other. Servers that end at the same moment have another cause in common.
+	minRequestSequence = 2
+	// sequenceTolerance covers the delay of messages, by which the times of different
+	// daemons differ.
+	sequenceTolerance = 30 * time.Millisecond
+	// maxRecordRuns bounds the runs kept for one suspect.
+	maxRecordRuns = 16
+	// clearedMemory is how long a cleared suspect is kept, so that reports of earlier
+	// crashes that arrive late have no effect.
+	clearedMemory = 10 * time.Second
+)
+
+// Run is a run of a request that ended when its server closed the connection.
+type Run struct {
+	// Server identifies the incarnation of the server.
+	Server       uint64
+	Began, Ended time.Time
+}
+
+// ServerKey identifies an incarnation of a server in a Run.
+func ServerKey(id string, incarnation int64) uint64 {
+	d := xxhash.New()
+	var number [8]byte
+	binary.LittleEndian.PutUint64(number[:], uint64(incarnation)) //nolint:gosec // Any bits identify it.
+	_, _ = d.Write(number[:])
+	_, _ = d.WriteString(id)
+	return d.Sum64()
+}
+
+// Evidence is what the daemons know together of the requests at which servers crashed. It
+// decides which requests to refuse. Unlike a List it neither delays nor isolates suspects,
+// so that daemons need not hand requests over to one another.
+//
+// A suspect that finishes is cleared: its earlier crashes no longer count. Merging the
+// records of peers is commutative and idempotent, as far as their clocks agree.
+//
+// Evidence is not safe for concurrent use. The zero value is ready to use.
+type Evidence struct {
+	records map[Fingerprint]*record
+	// changed holds the suspects whose records peers have not been sent yet.
+	changed   map[Fingerprint]bool
+	lastSweep time.Time
+}
+
+// record holds the crashes of one suspect since it was last cleared.
+type record struct {
+	// runs are the crashed runs in the order in which they ended, one for each server.
+	runs      []Run
+	clearedAt time.Time
+}
+
+// Lost records that the connections of a run with the given suspects were closed by its
+// server.
+func (e *Evidence) Lost(now time.Time, run Run, suspects []Fingerprint) {
+	for _, f := range suspects {
+		if e.recordOf(f).add(run) {
+			e.markChanged(f)
+		}
+	}
+	e.sweep(now)
+}
+
+// Survived records that a run with the given suspects did not crash its server.
+func (e *Evidence) Survived(now time.Time, suspects []Fingerprint) {
+	for _, f := range suspects {
+		if r := e.records[f]; r != nil && r.clear(now) {
+			e.markChanged(f)
+		}
+	}
+}
+
+// Refuses reports whether a request with the given suspects must not run, and which
+// suspect is the reason.
+func (e *Evidence) Refuses(now time.Time, suspects []Fingerprint) (Fingerprint, bool) {
+	for _, f := range suspects {
+		if r := e.records[f]; r != nil && r.overLimit(now) {
+			return f, true
+		}
+	}
+	return 0, false
+}
+
+// Refused returns the suspects that are refused, in order.
+func (e *Evidence) Refused(now time.Time) []Fingerprint {
+	var list []Fingerprint
+	for f, r := range e.records {
+		if r.overLimit(now) {
+			list = append(list, f)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// Len returns the number of suspects with crashes.
+func (e *Evidence) Len() int {
+	n := 0
+	for _, r := range e.records {
+		if len(r.runs) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// TakeChanges returns the records that changed since the last call.
+func (e *Evidence) TakeChanges(now time.Time) []message.SuspectRecord {
+	if len(e.changed) == 0 {
+		return nil
+	}
+	changes := e.Records(now, slices.Sorted(maps.Keys(e.changed)))
+	clear(e.changed)
+	return changes
+}
+
+// Records returns the records of suspects for peers.
+func (e *Evidence) Records(now time.Time, suspects []Fingerprint) []message.SuspectRecord {
+	list := make([]message.SuspectRecord, 0, len(suspects))
+	for _, f := range suspects {
+		if r := e.records[f]; r != nil {
+			list = append(list, r.encode(now, f))
+		}
+	}
+	return list
+}
+
+// Merge merges the records of a peer and returns those that changed the evidence.
+func (e *Evidence) Merge(now time.Time, records []message.SuspectRecord) []message.SuspectRecord {
+	var news []message.SuspectRecord
+	for _, m := range records {
+		if m.Cleared == nil && len(m.Crashes) == 0 {
+			continue
+		}
+		r := e.recordOf(Fingerprint(m.Suspect))
+		changed := false
+		if m.Cleared != nil {
+			changed = r.clear(ago(now, *m.Cleared))
+		}
+		for _, c := range m.Crashes {
+			run := Run{Server: c.Server, Began: ago(now, c.Began), Ended: ago(now, c.Ended)}
+			if now.Sub(run.Ended) < defaultExpiry && r.add(run) {
+				changed = true
+			}
+		}
+		if changed {
+			news = append(news, m)
+		}
+	}
+	e.sweep(now)
+	return news
+}
+
+// ago returns the time that lies a number of milliseconds back, and now for a negative
+// number.
+func ago(now time.Time, milliseconds int64) time.Time {
+	return now.Add(-time.Duration(max(milliseconds, 0)) * time.Millisecond)
+}
+
+func (e *Evidence) recordOf(f Fingerprint) *record {
+	if e.records == nil {
+		e.records, e.changed = map[Fingerprint]*record{}, map[Fingerprint]bool{}
+	}
+	r := e.records[f]
+	if r == nil {
+		r = &record{}
+		e.records[f] = r
+	}
+	return r
+}
+
+func (e *Evidence) markChanged(f Fingerprint) { e.changed[f] = true }
+
+// sweep removes expired records. When there are too many, it makes room for an eighth of the
+// greatest number, because it is expensive: it removes those with the fewest crashes first,
+// then the oldest.
+func (e *Evidence) sweep(now time.Time) {
+	if len(e.records) <= defaultMaxEntries && now.Sub(e.lastSweep) < sweepInterval {
+		return
+	}
+	e.lastSweep = now
+	for f, r := range e.records {
+		if r.expired(now) {
+			e.remove(f)
+		}
+	}
+	if len(e.records) <= defaultMaxEntries {
+		return
+	}
+	order := slices.SortedFunc(maps.Keys(e.records), func(a, b Fingerprint) int {
+		x, y := e.records[a], e.records[b]
+		return cmp.Or(cmp.Compare(len(x.runs), len(y.runs)), x.last().Compare(y.last()), cmp.Compare(a, b))
+	})
+	for _, f := range order[:len(order)-defaultMaxEntries*7/8] {
+		e.remove(f)
+	}
+}
+
+func (e *Evidence) remove(f Fingerprint) {
+	delete(e.records, f)
+	delete(e.changed, f)
+}
+
+// add adds a crashed run and reports whether the record changed.
+func (r *record) add(run Run) bool {
+	if !run.Ended.After(r.clearedAt) || slices.ContainsFunc(r.runs, func(o Run) bool { return o.Server == run.Server }) {
+		return false
+	}
+	at, _ := slices.BinarySearchFunc(r.runs, run, func(a, b Run) int {
+		return cmp.Or(a.Ended.Compare(b.Ended), cmp.Compare(a.Server, b.Server))
+	})
+	r.runs = slices.Insert(r.runs, at, run)
+	if len(r.runs) <= maxRecordRuns {
+		return true
+	}
+	// A run outside the sequence says nothing that the others do not. A sequence this long
+	// is far beyond the limits.
+	sequence := r.sequence()
+	drop := slices.IndexFunc(r.runs, func(o Run) bool { return !slices.Contains(sequence, o) })
+	if drop < 0 {
+		drop = 0
+	}
+	dropped := r.runs[drop]
+	r.runs = slices.Delete(r.runs, drop, drop+1)
+	return dropped != run
+}
+
+// clear removes the crashes up to a time and reports whether there were any.
+func (r *record) clear(at time.Time) bool {
+	r.clearedAt = later(r.clearedAt, at)
+	before := len(r.runs)
+	r.runs = slices.DeleteFunc(r.runs, func(o Run) bool { return !o.Ended.After(r.clearedAt) })
+	return len(r.runs) < before
+}
+
+// overLimit reports whether the suspect has crashed more servers than may be put down to
+// chance.
+func (r *record) overLimit(now time.Time) bool {
+	return len(r.runs) >= maxRequestCrashes && !r.expired(now) && len(r.sequence()) >= minRequestSequence
+}
+
+// sequence returns the longest sequence of runs of which each began after the one before
+// had crashed its server.
+func (r *record) sequence() []Run {
+	var sequence []Run
+	for _, run := range r.runs {
+		if len(sequence) > 0 {
+			previous := sequence[len(sequence)-1].Ended
+			if run.Began.Before(previous.Add(-sequenceTolerance)) || run.Ended.Before(previous.Add(sequenceTolerance)) {
+				continue
+			}
+		}
+		sequence = append(sequence, run)
+	}
+	return sequence
+}
+
+// last returns when the record last changed.
+func (r *record) last() time.Time {
+	if len(r.runs) == 0 {
+		return r.clearedAt
+	}
+	return r.runs[len(r.runs)-1].Ended
+}
+
+func (r *record) expired(now time.Time) bool {
+	if len(r.runs) == 0 {
+		return now.Sub(r.clearedAt) > clearedMemory
+	}
+	return now.Sub(r.last()) > defaultExpiry
+}
+
+func (r *record) encode(now time.Time, f Fingerprint) message.SuspectRecord {
+	m := message.SuspectRecord{Suspect: uint64(f)}
+	if !r.clearedAt.IsZero() {
+		age := now.Sub(r.clearedAt).Milliseconds()
+		m.Cleared = &age
+	}
+	for _, run := range r.runs {
+		m.Crashes = append(m.Crashes, message.CrashedRun{
+			Server: run.Server, Began: now.Sub(run.Began).Milliseconds(), Ended: now.Sub(run.Ended).Milliseconds(),
+		})
+	}
+	return m
+}
--- a/pkg/problem/problem.go
+++ b/pkg/problem/problem.go
@@ -34,6 +34,7 @@
 	LedgerUnavailable   Kind = "LedgerUnavailable"
 	NoCapacity          Kind = "NoCapacity"
 	Poisonous           Kind = "Poisonous"
+	Quarantined         Kind = "Quarantined"
 	OutcomeUnknown      Kind = "OutcomeUnknown"
 	BackendFailed       Kind = "BackendFailed"
 	Internal            Kind = "Internal"
@@ -79,6 +80,7 @@
 	{LedgerUnavailable, http.StatusServiceUnavailable, "Order cannot be recorded", NotRun, true},
 	{NoCapacity, http.StatusServiceUnavailable, "No backend server", NotRun, true},
 	{Poisonous, http.StatusUnprocessableEntity, "Request crashes backend servers", HasRun, false},
+	{Quarantined, http.StatusServiceUnavailable, "Request is suspected of crashing backend servers", NotRun, true},
 	{OutcomeUnknown, http.StatusGatewayTimeout, "Outcome unknown, not repeated", Unknown, false},
 	{BackendFailed, http.StatusBadGateway, "Backend server failed", HasRun, false},
 	{Internal, http.StatusInternalServerError, "Internal error", Unknown, false},
