--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -38,6 +38,8 @@
 	service   string
 	poisonous func(*http.Request) bool
 	answer    http.HandlerFunc
+	// begins writes the start of the answer to a poisonous request; nil means none.
+	begins http.HandlerFunc
 
 	mu      sync.Mutex
 	crashes []time.Time
@@ -97,6 +99,9 @@
 		c.mu.Lock()
 		c.poisonousSends = append(c.poisonousSends, time.Now())
 		c.mu.Unlock()
+		if c.begins != nil {
+			c.begins(w, r)
+		}
 		time.Sleep(30 * time.Millisecond)
 		crash()
 	})
@@ -228,6 +233,51 @@
 	}
 }
 
+// TestPromptPartThatCrashesServersIsRefusedByAllDaemons guards against one part of prompts that
+// crashes server after server because no two requests with it are alike.
+func TestPromptPartThatCrashesServersIsRefusedByAllDaemons(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// firstParts is the number of parts behind which the poisonous one stands.
+		firstParts int
+	}{
+		{"behind one part", 1},
+		{"behind eight parts", 8},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			env := newTestEnv(t)
+			servers := &crashingServers{
+				env: env, service: "model",
+				answer: func(w http.ResponseWriter, r *http.Request) {
+					writeStream(w, r, 5)
+					time.Sleep(100 * time.Millisecond)
+					_, _ = w.Write([]byte(event(6))) // An error shows in what the caller receives.
+				},
+				begins: func(w http.ResponseWriter, _ *http.Request) {
+					w.Header().Set("X-Signature", "s")
+					_ = http.NewResponseController(w).Flush() // An error shows in what the caller receives.
+				},
+				poisonous: func(r *http.Request) bool { return strings.Contains(r.Header.Get("X-Parts"), ",poison,") },
+			}
+			t.Cleanup(servers.close)
+			for i := range 20 {
+				servers.start(fmt.Sprint("s", i), 1, "")
+			}
+			gateways := env.startLinked([]string{"a"}, crashGateways)
+			prompt := func(n int, second string) (string, []string) {
+				return fmt.Sprintf("/stream/%d", n), []string{"X-Parts", fmt.Sprintf("first%d,%s,last%d", n%c.firstParts, second, n)}
+			}
+			load := crashLoad{
+				sound:          func(n int) (string, []string) { return prompt(n, fmt.Sprint("second", n%40)) },
+				poisonous:      func(n int) (string, []string) { return prompt(n, "poison") },
+				soundPerSecond: 45, poisonousPerSecond: 15, calm: 2 * time.Second, poisoned: 8 * time.Second,
+			}
+			before, after := load.run(t, gateways)
+			servers.check(5, before, after)
+		})
+	}
+}
+
 // addCrashingServers starts plain servers, which requests with the path /safe/poison crash.
 func (env *testEnv) addCrashingServers(n int) *crashingServers {
 	servers := &crashingServers{
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 	"go.uber.org/goleak"
 
@@ -22,6 +23,7 @@
 	"apricotbridge/internal/keyvalue"
 	"apricotbridge/internal/quota"
 	"apricotbridge/internal/route"
+	"apricotbridge/internal/routing"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -199,6 +201,12 @@
 	if n, err := strconv.Atoi(h.Get("X-Tokens")); err == nil {
 		c.PromptTokens = n
 	}
+	if list := h.Get("X-Parts"); list != "" {
+		for i := range strings.Split(list, ",") {
+			prefix := strings.Join(strings.Split(list, ",")[:i+1], ",")
+			c.Parts = append(c.Parts, routing.Part{Prefix: xxhash.Sum64String(prefix), Tokens: 100 * (i + 1)})
+		}
+	}
 	return c, nil
 }
 
