backend: tell an answer without a length from one cut off by a crash

What callers could see: an answer that ends with its connection looked complete when its server had crashed in the middle, because a crash closes connections like the end of an answer does.

A server that refuses a connection right after the end of such an answer has ended. The connection that finds it alive is kept for the next request, which would have needed a new one anyway.

TestServerEndsWithItsAnswer gave the truncated body as complete before.

--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -388,3 +388,46 @@
 		t.Errorf("error %v, want ErrIncomplete", err)
 	}
 }
+
+// TestServerEndsWithItsAnswer guards against taking an answer without a length for complete
+// that its server cut off when it crashed.
+func TestServerEndsWithItsAnswer(t *testing.T) {
+	const text = "HTTP/1.1 200 OK\r\nX-Attempt: 1\r\nX-Signature: s\r\nConnection: close\r\n\r\nbody"
+	for _, c := range []struct {
+		name    string
+		crashes bool
+		want    error
+	}{
+		{"server runs on", false, nil},
+		{"server crashes", true, ErrConnectionLost},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			served := make(chan struct{})
+			go func() {
+				defer close(served)
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = http.ReadRequest(bufio.NewReader(conn)) // The answer is the same for all.
+				fmt.Fprint(conn, text)
+				if c.crashes {
+					_ = l.Close()
+				}
+				_ = conn.Close()
+			}()
+			p := &Pool{Names: testNames}
+			defer p.Close()
+			body, err := fetch(t, p, l.Addr().String(), "1")
+			if !errors.Is(err, c.want) || body != "body" && c.want == nil {
+				t.Errorf("body %q, error %v, want %v", body, err, c.want)
+			}
+			<-served
+		})
+	}
+}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"github.com/juju/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -160,6 +161,23 @@
 	return &conn{Conn: netConn, address: address, reader: newBufferedReader(netConn)}, nil
 }
 
+// refusalTimeout limits the wait to learn whether a server still accepts connections.
+const refusalTimeout = 200 * time.Millisecond
+
+// refuses reports whether a server refuses a connection, which means that its process has
+// ended. Otherwise the connection is kept for the next request.
+func (p *Pool) refuses(address string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), refusalTimeout)
+	defer cancel()
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	c.usableUntil = time.Now().Add(defaultIdleTimeout - idleMargin)
+	p.addIdle(c)
+	return false
+}
+
 // CloseUnusable closes idle connections that have expired or whose server is not in use.
 func (p *Pool) CloseUnusable(now time.Time, inUse func(address string) bool) {
 	p.mu.Lock()
