--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -75,7 +75,8 @@
 			pending = append(pending[:0], pending[end+2:]...)
 		}
 		switch {
-		case errors.Is(err, io.EOF) && len(pending) == 0 && !res.CloseDelimited:
+		// Without a length, a stream that ends before its first event was cut off.
+		case errors.Is(err, io.EOF) && len(pending) == 0 && (!res.CloseDelimited || !s.stream.firstEventAt.IsZero()):
 			s.completeStream(res, server)
 			return attemptResult{done: true}
 		case errors.Is(err, io.EOF):
