gateway: continue a stream elsewhere when its server has ended

Cause: the limit of a route's attempts counted every server that may have run the request. It bounds the servers that one request may occupy; a server that has ended occupies none.

Evidence: TestStreamContinuesWhenItsServerEnded; a stream with four events was broken off on the code before.

A server counts as ended when it refuses a connection after it closed that of the stream. A request whose stream had not begun is not sent on, because it may be what ended the server.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -225,7 +225,7 @@
 	n, err := r.body.Read(b)
 	switch {
 	case err == nil:
-	case errors.Is(err, io.EOF) && r.CloseDelimited && !r.bodyComplete && r.pool.refuses(r.conn.address):
+	case errors.Is(err, io.EOF) && r.CloseDelimited && !r.bodyComplete && r.pool.Refuses(context.Background(), r.conn.address):
 		// A server that crashes closes its connections like one that has written everything.
 		err = incomplete("body: server ended: ", io.EOF)
 	case errors.Is(err, io.EOF):
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -164,10 +164,10 @@
 // refusalTimeout limits the wait to learn whether a server still accepts connections.
 const refusalTimeout = 200 * time.Millisecond
 
-// refuses reports whether a server refuses a connection, which means that its process has
+// Refuses reports whether a server refuses a connection, which means that its process has
 // ended. Otherwise the connection is kept for the next request.
-func (p *Pool) refuses(address string) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), refusalTimeout)
+func (p *Pool) Refuses(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, refusalTimeout)
 	defer cancel()
 	c, err := p.dial(ctx, address)
 	if err != nil {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -130,10 +130,23 @@
 	if errors.Is(context.Cause(ctx), errServerLeaving) {
 		ending = dispatch.Stopped
 	}
+	s.discountEndedServer(ctx, server, err)
 	s.logAttempt(server, ending, err)
 	return attemptResult{ending: ending, err: err}
 }
 
+// discountEndedServer takes a server that has ended in the middle of a stream off the count
+// that the route's attempts limit, so that the stream continues at another server. A request
+// whose stream had not begun is not sent on: it may be the reason why the server ended.
+func (s *session) discountEndedServer(ctx context.Context, server routing.Server, err error) {
+	if s.route.Repeat != route.Resume || s.stream.eventCount == 0 || !s.attemptsExhausted() || !errors.Is(err, backend.ErrConnectionLost) {
+		return
+	}
+	if s.g.Backends.Refuses(ctx, server.Address) {
+		s.attemptsMayHaveRun--
+	}
+}
+
 // errNotNextEvent means that a resumed stream does not continue after the last event.
 const errNotNextEvent = errors.ConstError("event is not the next one")
 
--- a/internal/gateway/retries_test.go
+++ b/internal/gateway/retries_test.go
@@ -73,3 +73,56 @@
 		}
 	}
 }
+
+// TestStreamContinuesWhenItsServerEnded guards against ending a stream with its server although
+// a server that has ended does not count against the attempts of its route.
+func TestStreamContinuesWhenItsServerEnded(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// ends means that the server ends; otherwise only the connection does.
+		ends bool
+		// events is the number of events before that.
+		events int
+		whole  bool
+	}{
+		{"server ends in the stream", true, 4, true},
+		{"connection ends in the stream", false, 4, false},
+		{"server ends before the first event", true, 0, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			env := newTestEnv(t)
+			env.configuration.Version++
+			for i := range env.configuration.Routes {
+				env.configuration.Routes[i].Attempts = 1
+			}
+			env.configure()
+			servers := map[string]*backendServer{}
+			var runs atomic.Int32
+			for _, id := range []string{"s1", "s2"} {
+				servers[id] = env.addServer(id, "model", func(rw http.ResponseWriter, r *http.Request) {
+					if runs.Add(1) > 1 {
+						writeStream(rw, r, 9)
+						return
+					}
+					rw.Header().Set("X-Signature", "s")
+					writeStream(rw, r, c.events)
+					if c.ends {
+						_ = servers[id].Listener.Close()
+					}
+					closeConnection(rw)
+				})
+			}
+			got := env.startReady("g1").send(t.Context(), http.MethodPost, "/stream/")
+			if whole := got.err == nil && got.body == events(1, 9); whole != c.whole {
+				t.Errorf("whole %v, want %v: got %q, error %v", whole, c.whole, got.body, got.err)
+			}
+			want := int32(1)
+			if c.whole {
+				want = 2
+			}
+			if n := runs.Load(); n != want {
+				t.Errorf("%d runs, want %d", n, want)
+			}
+		})
+	}
+}
