quarantine, dispatch: give refusals files of their own

Also keeps the length of the sequence of crashes with each record: after a wave of crashes each check of a request computed it for all records, up to 4,096 of them. No figure was taken for the gain.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -27,9 +27,6 @@
 	// the requests, so that retries do not overload a failing fleet further.
 	retryBudgetShare = 0.1
 	retryBudgetBurst = 100
-	// quarantineRetryAfter is the Retry-After of a request that is refused as a suspect,
-	// whose evidence does not change soon.
-	quarantineRetryAfter = 30 * time.Second
 	// noServerRetryAfter is the base of Retry-After when a service has no backend server.
 	noServerRetryAfter = time.Second
 )
@@ -306,24 +303,6 @@
 	return nil
 }
 
-// suspicion returns the problem with which a request is refused that may not run because
-// of the servers that crashed, or nil.
-func (d *Dispatcher) suspicion(now time.Time, w *Work) *problem.Problem {
-	if d.Quarantine.Verdict(now, w.Fingerprint) == quarantine.Refused {
-		return problem.New(problem.Poisonous, "the same request has crashed backend servers")
-	}
-	if d.Evidence == nil {
-		return nil
-	}
-	suspect, refused := d.Evidence.Refuses(now, w.Suspects)
-	if !refused {
-		return nil
-	}
-	p := problem.New(problem.Quarantined, "backend servers crashed at suspect %016x", uint64(suspect))
-	p.RetryAfter = quarantineRetryAfter
-	return w.refusalProblem(p)
-}
-
 // recordCrash marks the requests in flight at a server as suspects. Each of them may
 // report the crash; the quarantine list counts a server incarnation once.
 func (d *Dispatcher) recordCrash(now time.Time, s routing.Server) {
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -156,55 +156,6 @@
 	return d.Quarantine.EntriesOf(f)
 }
 
-// ConnectionLost records that the server of a running request closed the connection before
-// the end of its answer.
-func (d *Dispatcher) ConnectionLost(now time.Time, id string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	w := d.works[id]
-	if w == nil || !w.running || d.Evidence == nil {
-		return
-	}
-	run := quarantine.Run{Server: quarantine.ServerKey(w.server.ID, w.server.Incarnation), Began: w.startedAt, Ended: now}
-	d.Evidence.Lost(now, run, w.Suspects)
-}
-
-// Survived records that the server of a running request did not crash because of it.
-func (d *Dispatcher) Survived(now time.Time, id string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if w := d.works[id]; w != nil {
-		d.survived(now, w)
-	}
-}
-
-func (d *Dispatcher) survived(now time.Time, w *Work) {
-	if d.Evidence != nil {
-		d.Evidence.Survived(now, w.Suspects)
-	}
-}
-
-// TakeEvidence returns the evidence that changed here since the last call.
-func (d *Dispatcher) TakeEvidence(now time.Time) []message.SuspectRecord {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.Evidence.TakeChanges(now)
-}
-
-// MergeEvidence merges evidence of other daemons and returns what of it was new.
-func (d *Dispatcher) MergeEvidence(now time.Time, records []message.SuspectRecord) []message.SuspectRecord {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.Evidence.Merge(now, records)
-}
-
-// RefusedSuspects returns the evidence on the suspects that are refused.
-func (d *Dispatcher) RefusedSuspects(now time.Time) []message.SuspectRecord {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.Evidence.Records(now, d.Evidence.Refused(now))
-}
-
 // Verdict returns how a request with the given fingerprint may run.
 func (d *Dispatcher) Verdict(now time.Time, f quarantine.Fingerprint) quarantine.Verdict {
 	d.mu.Lock()
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -13,29 +13,6 @@
 )
 
 const (
-	// maxRequestCrashes is the number of servers that a request may crash before it is
-	// refused.
-	maxRequestCrashes = 3
-	// minRequestSequence is the number of these crashes that must have come one after the
-	// other. Servers that end at the same moment have another cause in common.
-	minRequestSequence = 2
-	// maxPartCrashes and minPartSequence are the same for a part of prompts. A part is at many
-	// servers at a time, so that chance accuses it sooner.
-	maxPartCrashes  = 5
-	minPartSequence = 4
-	// maxUnrelatedPartCrashes replaces maxPartCrashes if the part was at less than
-	// minPartShare of the crashes between its first and its last, so that most servers end for
-	// other reasons.
-	maxUnrelatedPartCrashes = 10
-	minPartShare            = 0.25
-	// crashMemory is how long a crash is remembered to compute that share.
-	crashMemory = time.Minute
-	// minRefusedPartCrashes is the number of crashes, without those that other parts explain,
-	// with which a part stays refused.
-	minRefusedPartCrashes = 3
-	// sequenceTolerance covers the delay of messages, by which the times of different
-	// daemons differ.
-	sequenceTolerance = 30 * time.Millisecond
 	// evidenceExpiry is how long a suspect is refused after its last crash. It may then run
 	// again, because servers may have been replaced by better ones.
 	evidenceExpiry = 10 * time.Minute
@@ -99,8 +76,10 @@
 	part bool
 	// refused is set while the part is refused, which takes less evidence than to begin.
 	refused bool
-	// runs are the crashed runs in the order in which they ended, one for each server.
+	// runs are the crashed runs in the order in which they ended, one for each server, and
+	// inTurn is the length of their sequence.
 	runs      []Run
+	inTurn    int
 	clearedAt time.Time
 }
 
@@ -124,103 +103,6 @@
 	}
 }
 
-// Refuses reports whether a request with the given suspects must not run, and which
-// suspect is the reason.
-//
-// Parts that were at exactly the same crashes can't be told apart. A request with some of them
-// runs, so that its outcome decides; one with all of them does not.
-func (e *Evidence) Refuses(now time.Time, suspects []Suspect) (Fingerprint, bool) {
-	for _, s := range suspects {
-		if e.refused(now, s.Fingerprint) && e.hasAllIndistinguishable(now, s.Fingerprint, suspects) {
-			return s.Fingerprint, true
-		}
-	}
-	return 0, false
-}
-
-// refused reports whether the evidence against a suspect is sufficient.
-func (e *Evidence) refused(now time.Time, f Fingerprint) bool {
-	r := e.records[f]
-	if r == nil || r.expired(now) {
-		return false
-	}
-	if !r.part {
-		return len(r.runs) >= maxRequestCrashes && len(sequence(r.runs)) >= minRequestSequence
-	}
-	if len(r.runs) < maxPartCrashes {
-		r.refused = false
-		return false
-	}
-	runs := e.unexplainedRuns(r)
-	switch {
-	case r.refused:
-		r.refused = len(runs) >= minRefusedPartCrashes
-	case len(runs) < maxPartCrashes, len(sequence(runs)) < minPartSequence:
-	case len(runs) >= maxUnrelatedPartCrashes:
-		r.refused = true
-	default:
-		all := e.crashesBetween(runs[0].Ended, runs[len(runs)-1].Ended)
-		r.refused = float64(len(runs)) >= minPartShare*float64(all)
-	}
-	return r.refused
-}
-
-// crashesBetween returns the number of crashes from first to last.
-func (e *Evidence) crashesBetween(first, last time.Time) int {
-	n := 0
-	for _, at := range e.crashes {
-		if !at.Before(first) && !at.After(last) {
-			n++
-		}
-	}
-	return n
-}
-
-// unexplainedRuns returns the runs of a part at whose servers no part of stronger evidence was.
-func (e *Evidence) unexplainedRuns(r *record) []Run {
-	own := len(sequence(r.runs))
-	explained := map[uint64]bool{}
-	for _, o := range e.records {
-		if !o.part || o == r || len(o.runs) == 0 {
-			continue
-		}
-		if n := len(sequence(o.runs)); n > own || n == own && len(o.runs) > len(r.runs) {
-			for _, run := range o.runs {
-				explained[run.Server] = true
-			}
-		}
-	}
-	return slices.DeleteFunc(slices.Clone(r.runs), func(run Run) bool { return explained[run.Server] })
-}
-
-// hasAllIndistinguishable reports whether the suspects of a request include all parts whose
-// evidence is sufficient too and comes from the same crashes.
-func (e *Evidence) hasAllIndistinguishable(now time.Time, f Fingerprint, suspects []Suspect) bool {
-	r := e.records[f]
-	if !r.part {
-		return true
-	}
-	for other, o := range e.records {
-		if o.part && other != f && r.sameServers(o) && !slices.Contains(suspects, Suspect{other, true}) && e.refused(now, other) {
-			return false
-		}
-	}
-	return true
-}
-
-// sameServers reports whether two suspects were at the same crashes.
-func (r *record) sameServers(o *record) bool {
-	if len(r.runs) != len(o.runs) {
-		return false
-	}
-	for _, run := range r.runs {
-		if !slices.ContainsFunc(o.runs, func(x Run) bool { return x.Server == run.Server }) {
-			return false
-		}
-	}
-	return true
-}
-
 // Refused returns the suspects that are refused, in order.
 func (e *Evidence) Refused(now time.Time) []Fingerprint {
 	var list []Fingerprint
@@ -358,6 +240,7 @@
 		return cmp.Or(a.Ended.Compare(b.Ended), cmp.Compare(a.Server, b.Server))
 	})
 	r.runs = slices.Insert(r.runs, at, run)
+	defer func() { r.inTurn = len(sequence(r.runs)) }()
 	if len(r.runs) <= maxRecordRuns {
 		return true
 	}
@@ -378,25 +261,10 @@
 	r.clearedAt = later(r.clearedAt, at)
 	before := len(r.runs)
 	r.runs = slices.DeleteFunc(r.runs, func(o Run) bool { return !o.Ended.After(r.clearedAt) })
+	r.inTurn = len(sequence(r.runs))
 	return len(r.runs) < before
 }
 
-// sequence returns, of runs in the order in which they ended, a longest sequence in which each
-// began after the one before had crashed its server.
-func sequence(runs []Run) []Run {
-	var inTurn []Run
-	for _, run := range runs {
-		if len(inTurn) > 0 {
-			previous := inTurn[len(inTurn)-1].Ended
-			if run.Began.Before(previous.Add(-sequenceTolerance)) || run.Ended.Before(previous.Add(sequenceTolerance)) {
-				continue
-			}
-		}
-		inTurn = append(inTurn, run)
-	}
-	return inTurn
-}
-
 // last returns when the record last changed.
 func (r *record) last() time.Time {
 	if len(r.runs) == 0 {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,7 +1,9 @@
-// Package quarantine keeps the list of requests that are suspected of crashing
-// backend servers. It has no sockets, no goroutines and no clock.
+// Package quarantine decides which requests are refused because they crash backend
+// servers. It has no sockets, no goroutines and no clock. A List isolates suspects, for
+// daemons that can hand a request over to another one; Evidence only refuses, for daemons
+// whose callers can't wait.
 //
-// A crash makes each request in flight on the server a suspect. After one crash,
+// In a List a crash makes each request in flight on the server a suspect. After one crash,
 // suspects run apart: on servers without another suspect, so that a second crash
 // distinguishes the poisonous request from those that only shared its server. After two
 // crashes a suspect runs alone on a server. A suspect that finishes is cleared. A suspect
