quarantine, gateway: count only servers that ended as crashed

Cause: any connection that a server closed counted as a crash. Now the daemon connects once more: a server that refuses has ended. If none of the servers was seen to have ended, it takes three times as many runs, so that a crash that leaves the port open for a moment is still counted.

TestLostAnswersAccuseNobody failed before: the third and fourth of four repeats were refused. Its first form also failed after the change, because it wanted 502 for each: with all six servers avoided for a second the last repeat is refused for another reason, which is allowed. It now looks for the refusal as a suspect only.

--- a/internal/dispatch/suspicion.go
+++ b/internal/dispatch/suspicion.go
@@ -31,15 +31,15 @@
 }
 
 // ConnectionLost records that the server of a running request closed the connection before
-// the end of its answer.
-func (d *Dispatcher) ConnectionLost(now time.Time, id string) {
+// the end of its answer. ended means that the server refuses connections since then.
+func (d *Dispatcher) ConnectionLost(now time.Time, id string, ended bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	w := d.works[id]
 	if w == nil || !w.running || d.Evidence == nil {
 		return
 	}
-	run := quarantine.Run{Server: quarantine.ServerKey(w.server.ID, w.server.Incarnation), Began: w.startedAt, Ended: now}
+	run := quarantine.Run{Server: quarantine.ServerKey(w.server.ID, w.server.Incarnation), Began: w.startedAt, Ended: now, Confirmed: ended}
 	d.Evidence.Lost(now, run, w.Suspects)
 }
 
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"apricotbridge/internal/fleet"
+	"apricotbridge/pkg/problem"
 )
 
 const (
@@ -347,3 +348,21 @@
 		t.Errorf("another request got %+v", got)
 	}
 }
+
+// TestLostAnswersAccuseNobody guards against refusing a request whose answers were lost by
+// servers that did not crash.
+func TestLostAnswersAccuseNobody(t *testing.T) {
+	env := newTestEnv(t)
+	for i := range 6 {
+		env.addServer(fmt.Sprint("s", i), "plain", func(w http.ResponseWriter, _ *http.Request) {
+			time.Sleep(30 * time.Millisecond)
+			closeConnection(w)
+		})
+	}
+	gw := env.startReady("g1")
+	for n := range 4 {
+		if got := gw.send(t.Context(), http.MethodPost, "/safe/same"); strings.Contains(got.body, string(problem.Quarantined)) {
+			t.Errorf("request %d: got %+v", n, got)
+		}
+	}
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -124,7 +124,7 @@
 		s.abortDisconnected("at server " + server.ID)
 	}
 	if !s.stream.survived {
-		s.noteConnectionLost(server, err)
+		s.noteConnectionLost(ctx, server, err)
 	}
 	ending := dispatch.Broken
 	if errors.Is(context.Cause(ctx), errServerLeaving) {
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -26,6 +26,9 @@
 	// Milliseconds since the request was sent to the server.
 	Began int64 `json:"Began"`
 
+	// Whether the server refused connections afterwards.
+	Confirmed bool `json:"Confirmed,omitempty,omitzero"`
+
 	// Milliseconds since the server closed the connection.
 	Ended int64 `json:"Ended"`
 
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -40,6 +40,9 @@
 	// Server identifies the incarnation of the server.
 	Server       uint64
 	Began, Ended time.Time
+	// Confirmed means that the server refused connections afterwards. Otherwise it may have
+	// lost only this connection.
+	Confirmed bool
 }
 
 // ServerKey identifies an incarnation of a server in a Run.
@@ -76,9 +79,10 @@
 	part bool
 	// refused is set while the part is refused, which takes less evidence than to begin.
 	refused bool
-	// runs are the crashed runs in the order in which they ended, one for each server, and
-	// inTurn is the length of their sequence.
-	runs      []Run
+	// runs are the crashed runs in the order in which they ended, one for each server.
+	runs []Run
+	// counted are the runs that count as crashes, and inTurn is the length of their sequence.
+	counted   []Run
 	inTurn    int
 	clearedAt time.Time
 }
@@ -160,7 +164,7 @@
 			changed = e.recordOf(s).clear(ago(now, *m.Cleared))
 		}
 		for _, c := range m.Crashes {
-			run := Run{Server: c.Server, Began: ago(now, c.Began), Ended: ago(now, c.Ended)}
+			run := Run{Server: c.Server, Began: ago(now, c.Began), Ended: ago(now, c.Ended), Confirmed: c.Confirmed}
 			if now.Sub(run.Ended) < evidenceExpiry && e.add(s, run) {
 				changed = true
 			}
@@ -194,7 +198,7 @@
 // add adds a crashed run of a suspect and reports whether its record changed.
 func (e *Evidence) add(s Suspect, run Run) bool {
 	changed := e.recordOf(s).add(run)
-	if _, known := e.crashes[run.Server]; s.Part && !known {
+	if _, known := e.crashes[run.Server]; s.Part && run.Confirmed && !known {
 		e.crashes[run.Server] = run.Ended
 	}
 	return changed
@@ -233,14 +237,19 @@
 
 // add adds a crashed run and reports whether the record changed.
 func (r *record) add(run Run) bool {
-	if !run.Ended.After(r.clearedAt) || slices.ContainsFunc(r.runs, func(o Run) bool { return o.Server == run.Server }) {
+	if !run.Ended.After(r.clearedAt) {
 		return false
 	}
+	defer r.count()
+	if i := slices.IndexFunc(r.runs, func(o Run) bool { return o.Server == run.Server }); i >= 0 {
+		changed := run.Confirmed && !r.runs[i].Confirmed
+		r.runs[i].Confirmed = r.runs[i].Confirmed || run.Confirmed
+		return changed
+	}
 	at, _ := slices.BinarySearchFunc(r.runs, run, func(a, b Run) int {
 		return cmp.Or(a.Ended.Compare(b.Ended), cmp.Compare(a.Server, b.Server))
 	})
 	r.runs = slices.Insert(r.runs, at, run)
-	defer func() { r.inTurn = len(sequence(r.runs)) }()
 	if len(r.runs) <= maxRecordRuns {
 		return true
 	}
@@ -261,10 +270,23 @@
 	r.clearedAt = later(r.clearedAt, at)
 	before := len(r.runs)
 	r.runs = slices.DeleteFunc(r.runs, func(o Run) bool { return !o.Ended.After(r.clearedAt) })
-	r.inTurn = len(sequence(r.runs))
+	r.count()
 	return len(r.runs) < before
 }
 
+// count updates counted and inTurn.
+func (r *record) count() {
+	limit := maxRequestCrashes
+	if r.part {
+		limit = maxPartCrashes
+	}
+	r.counted = slices.Clone(r.runs)
+	if len(r.runs) < unconfirmedFactor*limit {
+		r.counted = slices.DeleteFunc(r.counted, func(run Run) bool { return !run.Confirmed })
+	}
+	r.inTurn = len(sequence(r.counted))
+}
+
 // last returns when the record last changed.
 func (r *record) last() time.Time {
 	if len(r.runs) == 0 {
@@ -288,7 +310,7 @@
 	}
 	for _, run := range r.runs {
 		m.Crashes = append(m.Crashes, message.CrashedRun{
-			Server: run.Server, Began: now.Sub(run.Began).Milliseconds(), Ended: now.Sub(run.Ended).Milliseconds(),
+			Server: run.Server, Began: now.Sub(run.Began).Milliseconds(), Ended: now.Sub(run.Ended).Milliseconds(), Confirmed: run.Confirmed,
 		})
 	}
 	return m
--- a/internal/quarantine/evidence_part_test.go
+++ b/internal/quarantine/evidence_part_test.go
@@ -130,7 +130,7 @@
 	if poisonous {
 		length = 50 + c.random.IntN(150)
 	}
-	run := Run{Server: ServerKey(fmt.Sprint(server), c.incarnations[server]), Began: now}
+	run := Run{Server: ServerKey(fmt.Sprint(server), c.incarnations[server]), Began: now, Confirmed: true}
 	c.runs = append(c.runs, simulatedRun{server, run, suspects, now.Add(time.Duration(length) * time.Millisecond), poisonous})
 	return true
 }
--- a/internal/quarantine/evidence_test.go
+++ b/internal/quarantine/evidence_test.go
@@ -13,7 +13,18 @@
 
 // crashAt returns a run that lasted from begin to end, in milliseconds after start.
 func crashAt(server string, begin, end int) Run {
-	return Run{Server: ServerKey(server, 1), Began: evidenceTime(begin), Ended: evidenceTime(end)}
+	return Run{Server: ServerKey(server, 1), Began: evidenceTime(begin), Ended: evidenceTime(end), Confirmed: true}
+}
+
+// lostConnections returns runs in turn whose servers were not seen to have ended.
+func lostConnections(n int) []Run {
+	var runs []Run
+	for i := range n {
+		run := crashAt(fmt.Sprint("s", i), 30*i, 30*i+30)
+		run.Confirmed = false
+		runs = append(runs, run)
+	}
+	return runs
 }
 
 // request returns the suspects of a request without a prompt.
@@ -40,6 +51,8 @@
 		{"at the same moment", []Run{crashAt("a", 0, 500), crashAt("b", 100, 505), crashAt("c", 200, 500), crashAt("d", 5, 501)}, 0, 600, false},
 		{"finished since", []Run{crashAt("a", 0, 50), crashAt("b", 51, 100), crashAt("c", 300, 350)}, 360, 400, false},
 		{"finished before the last", []Run{crashAt("a", 0, 50), crashAt("b", 51, 100), crashAt("c", 300, 350)}, 200, 400, false},
+		{"connections lost by eight servers", lostConnections(8), 0, 400, false},
+		{"connections lost by nine servers", lostConnections(9), 0, 400, true},
 		{"long ago", []Run{crashAt("a", 0, 50), crashAt("b", 51, 100), crashAt("c", 300, 350)}, 0, 4_000_000, false},
 	} {
 		var e Evidence
--- a/internal/quarantine/refusal.go
+++ b/internal/quarantine/refusal.go
@@ -26,6 +26,9 @@
 	// minRefusedPartCrashes is the number of crashes, without those that other parts explain,
 	// with which a part stays refused.
 	minRefusedPartCrashes = 3
+	// unconfirmedFactor times the limits above is how many runs suffice if none of the servers
+	// was seen to have ended. Servers also lose single connections.
+	unconfirmedFactor = 3
 	// sequenceTolerance covers the delay of messages, by which the times of different
 	// daemons differ.
 	sequenceTolerance = 30 * time.Millisecond
@@ -52,9 +55,9 @@
 		return false
 	}
 	if !r.part {
-		return len(r.runs) >= maxRequestCrashes && r.inTurn >= minRequestSequence
+		return len(r.counted) >= maxRequestCrashes && r.inTurn >= minRequestSequence
 	}
-	if len(r.runs) < maxPartCrashes || r.inTurn < minPartSequence {
+	if len(r.counted) < maxPartCrashes || r.inTurn < minPartSequence {
 		r.refused = false
 		return false
 	}
@@ -91,16 +94,16 @@
 func (e *Evidence) unexplainedRuns(r *record) []Run {
 	explained := map[uint64]bool{}
 	for _, o := range e.records {
-		if !o.part || o == r || len(o.runs) == 0 {
+		if !o.part || o == r || len(o.counted) == 0 {
 			continue
 		}
-		if o.inTurn > r.inTurn || o.inTurn == r.inTurn && len(o.runs) > len(r.runs) {
-			for _, run := range o.runs {
+		if o.inTurn > r.inTurn || o.inTurn == r.inTurn && len(o.counted) > len(r.counted) {
+			for _, run := range o.counted {
 				explained[run.Server] = true
 			}
 		}
 	}
-	return slices.DeleteFunc(slices.Clone(r.runs), func(run Run) bool { return explained[run.Server] })
+	return slices.DeleteFunc(slices.Clone(r.counted), func(run Run) bool { return explained[run.Server] })
 }
 
 // hasAllIndistinguishable reports whether the suspects of a request include all parts whose
@@ -120,11 +123,11 @@
 
 // sameServers reports whether two suspects were at the same crashes.
 func (r *record) sameServers(o *record) bool {
-	if len(r.runs) != len(o.runs) {
+	if len(r.counted) != len(o.counted) {
 		return false
 	}
-	for _, run := range r.runs {
-		if !slices.ContainsFunc(o.runs, func(x Run) bool { return x.Server == run.Server }) {
+	for _, run := range r.counted {
+		if !slices.ContainsFunc(o.counted, func(x Run) bool { return x.Server == run.Server }) {
 			return false
 		}
 	}
