gateway: delete the record of a suspect only when it was cleared or has expired

The holder of the duty deleted records of suspects that it does not refuse itself. Daemons whose evidence differs for a moment would have written and deleted a record in turn; no run has shown it. TestRecordOfClearedSuspectIsDeleted covers the deletion, which had no test.

--- a/internal/dispatch/suspicion.go
+++ b/internal/dispatch/suspicion.go
@@ -72,6 +72,13 @@
 	return d.Evidence.Merge(now, records)
 }
 
+// HasCrashes reports whether there is evidence against a suspect.
+func (d *Dispatcher) HasCrashes(now time.Time, suspect quarantine.Fingerprint) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.Evidence.HasCrashes(now, suspect)
+}
+
 // RefusedSuspects returns the evidence on the suspects that are refused.
 func (d *Dispatcher) RefusedSuspects(now time.Time) []message.SuspectRecord {
 	d.mu.Lock()
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"apricotbridge/internal/fleet"
+	"apricotbridge/internal/keyvalue"
+	"apricotbridge/internal/message"
 	"apricotbridge/pkg/problem"
 )
 
@@ -349,6 +351,35 @@
 	}
 }
 
+// TestRecordOfClearedSuspectIsDeleted guards against a suspect that later daemons refuse although
+// it was cleared, and against deleting the record of one that was not.
+func TestRecordOfClearedSuspectIsDeleted(t *testing.T) {
+	env := newTestEnv(t)
+	env.reporter = discardReports{}
+	env.addCrashingServers(5)
+	gw := env.startReady("g1")
+	recorded := func() []keyvalue.Entry {
+		entries, _, err := env.store.List(t.Context(), suspectPrefix)
+		if err != nil {
+			t.Error(err)
+		}
+		return entries
+	}
+	waitFor(t, "the suspect is recorded in the store", func() bool {
+		gw.send(t.Context(), http.MethodPost, "/safe/poison")
+		return len(recorded()) == 1
+	})
+	waitFor(t, "the daemon holds the duty", gw.holdsDuty.Load)
+	time.Sleep(2 * recordInterval)
+	if n := len(recorded()); n != 1 {
+		t.Fatalf("%d records of a refused suspect", n)
+	}
+	suspect := gw.dispatcher.RefusedSuspects(time.Now())[0]
+	suspect.Cleared, suspect.Crashes = new(int64), nil
+	gw.dispatcher.MergeEvidence(time.Now(), []message.SuspectRecord{suspect})
+	waitFor(t, "the record is deleted", func() bool { return len(recorded()) == 0 })
+}
+
 // TestLostAnswersAccuseNobody guards against refusing a request whose answers were lost by
 // servers that did not crash.
 func TestLostAnswersAccuseNobody(t *testing.T) {
--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -13,6 +13,7 @@
 
 	"apricotbridge/internal/keyvalue"
 	"apricotbridge/internal/message"
+	"apricotbridge/internal/quarantine"
 )
 
 const (
@@ -189,19 +190,19 @@
 	return nil
 }
 
-// deleteUnneededRecords deletes the records of suspects that are no longer refused. Only the
-// holder of the duty does so, because all daemons come to the same result.
+// deleteUnneededRecords deletes the records of suspects that were cleared or have expired. Only
+// the holder of the duty does so, because all daemons come to the same result.
 func (g *Gateway) deleteUnneededRecords(ctx context.Context) {
 	if !g.holdsDuty.Load() {
 		return
 	}
 	g.recordedSuspectsMu.Lock()
-	unneeded := maps.Clone(g.recordedSuspects)
+	recorded := maps.Clone(g.recordedSuspects)
 	g.recordedSuspectsMu.Unlock()
-	for _, r := range g.dispatcher.RefusedSuspects(time.Now()) {
-		delete(unneeded, r.Suspect)
-	}
-	for suspect, revision := range unneeded {
+	for suspect, revision := range recorded {
+		if g.dispatcher.HasCrashes(time.Now(), quarantine.Fingerprint(suspect)) {
+			continue
+		}
 		if err := g.Store.Delete(ctx, suspectKey(suspect), revision); err != nil {
 			g.Log.Info("record of a suspect not deleted", "Suspect", fmt.Sprintf("%016x", suspect), "Error", err.Error())
 			return
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -119,6 +119,12 @@
 	return list
 }
 
+// HasCrashes reports whether a suspect has crashes that it was not cleared of.
+func (e *Evidence) HasCrashes(now time.Time, f Fingerprint) bool {
+	r := e.records[f]
+	return r != nil && len(r.runs) > 0 && !r.expired(now)
+}
+
 // Len returns the number of suspects with crashes.
 func (e *Evidence) Len() int {
 	n := 0
