--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -17,9 +17,6 @@
 )
 
 const (
-	// evidenceInterval is how often evidence that changed here is sent to the peers. A
-	// batch holds the requests of all servers that crash at the same moment.
-	evidenceInterval = 50 * time.Millisecond
 	// suspectPrefix is the key prefix of the records of refused suspects. They outlast the
 	// daemons.
 	suspectPrefix = "suspects/"
@@ -30,19 +27,11 @@
 	maxRecordDelay = time.Second
 )
 
-// sendEvidence sends the evidence that changed here to the peers.
-func (g *Gateway) sendEvidence(ctx context.Context) error {
-	ticker := time.NewTicker(evidenceInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-		if records := g.dispatcher.TakeEvidence(time.Now()); len(records) > 0 {
-			g.broadcastEvidence(records, func(message.Hello) bool { return true })
-		}
+// sendEvidence sends the evidence that changed here to the peers. The interval between calls
+// gathers the requests of servers that crash at the same moment.
+func (g *Gateway) sendEvidence(now time.Time) {
+	if records := g.dispatcher.TakeEvidence(now); len(records) > 0 {
+		g.broadcastEvidence(records, func(message.Hello) bool { return true })
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -227,7 +227,6 @@
 		{"daemons", g.watchDaemons},
 		{"status", g.sendStatus},
 		{"rows", g.relayRows},
-		{"evidence", g.sendEvidence},
 		{"suspects", g.watchSuspects},
 		{"suspect records", g.recordSuspects},
 		{"duty", g.runDuty},
@@ -255,7 +254,8 @@
 	return firstErr
 }
 
-// tickInterval is how often the dispatcher drops expired requests.
+// tickInterval is how often the dispatcher drops expired requests, and evidence that changed
+// here is sent to the peers.
 const tickInterval = 50 * time.Millisecond
 
 // sweepInterval is how often idle backend connections are closed.
@@ -273,6 +273,7 @@
 		}
 		now := time.Now()
 		g.dispatcher.Tick(now)
+		g.sendEvidence(now)
 		if now.Sub(swept) < sweepInterval {
 			continue
 		}
