--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -264,7 +264,7 @@
 	if s.r.Context().Err() != nil {
 		s.abortDisconnected("at server " + server.ID)
 	}
-	s.noteConnectionLost(ctx, server, err)
+	s.noteConnectionLost(server, err, s.serverEnded(ctx, server, err))
 	if s.suspectsServer(ctx) {
 		s.g.post(func(c *control) { c.suspectServer(time.Now(), server.ID) })
 	}
@@ -272,17 +272,21 @@
 	return attemptResult{ending: ending, err: err}
 }
 
+// serverEnded reports whether an attempt failed because its server has ended.
+func (s *session) serverEnded(ctx context.Context, server routing.Server, err error) bool {
+	return errors.Is(err, backend.ErrConnectionLost) && s.g.Backends.Refuses(ctx, server.Address)
+}
+
 // noteConnectionLost records as a possible crash that a server closed the connection. A
 // server that is leaving ends for another reason.
-func (s *session) noteConnectionLost(ctx context.Context, server routing.Server, err error) {
+func (s *session) noteConnectionLost(server routing.Server, err error, ended bool) {
 	if !errors.Is(err, backend.ErrConnectionLost) {
 		return
 	}
 	if m, ok := s.g.view.Load().Members[server.ID]; ok && !m.Accepting() {
 		return
 	}
-	now := time.Now()
-	s.g.dispatcher.ConnectionLost(now, s.call.ID, s.g.Backends.Refuses(ctx, server.Address))
+	s.g.dispatcher.ConnectionLost(time.Now(), s.call.ID, ended)
 }
 
 // suspectsServer reports whether a failed attempt makes its server suspect. A timeout
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -123,30 +123,24 @@
 	if s.r.Context().Err() != nil {
 		s.abortDisconnected("at server " + server.ID)
 	}
+	ended := s.serverEnded(ctx, server, err)
 	if !s.stream.survived {
-		s.noteConnectionLost(ctx, server, err)
+		s.noteConnectionLost(server, err, ended)
+	}
+	if ended && s.route.Repeat == route.Resume && s.stream.eventCount > 0 && s.attemptsExhausted() {
+		// A server that has ended does not count against the route's attempts, so that the
+		// stream continues at another one. A request whose stream had not begun is not sent
+		// on: it may be the reason why the server ended.
+		s.attemptsMayHaveRun--
 	}
 	ending := dispatch.Broken
 	if errors.Is(context.Cause(ctx), errServerLeaving) {
 		ending = dispatch.Stopped
 	}
-	s.discountEndedServer(ctx, server, err)
 	s.logAttempt(server, ending, err)
 	return attemptResult{ending: ending, err: err}
 }
 
-// discountEndedServer takes a server that has ended in the middle of a stream off the count
-// that the route's attempts limit, so that the stream continues at another server. A request
-// whose stream had not begun is not sent on: it may be the reason why the server ended.
-func (s *session) discountEndedServer(ctx context.Context, server routing.Server, err error) {
-	if s.route.Repeat != route.Resume || s.stream.eventCount == 0 || !s.attemptsExhausted() || !errors.Is(err, backend.ErrConnectionLost) {
-		return
-	}
-	if s.g.Backends.Refuses(ctx, server.Address) {
-		s.attemptsMayHaveRun--
-	}
-}
-
 // errNotNextEvent means that a resumed stream does not continue after the last event.
 const errNotNextEvent = errors.ConstError("event is not the next one")
 
