quarantine: clear crashes by server instead of by time

Cause: a clearing dropped the crashes up to a time. Ages shift by the delay of each hop, so that a forwarded crash seemed later than its clearing, was added and forwarded again, and was cleared again by the next run. Only delegates forward, so that small deployments showed nothing.

Now each crash has a flag, which daemons unite; no times are compared.

--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -375,7 +375,9 @@
 		t.Fatalf("%d records of a refused suspect", n)
 	}
 	suspect := gw.dispatcher.RefusedSuspects(time.Now())[0]
-	suspect.Cleared, suspect.Crashes = new(int64), nil
+	for i := range suspect.Crashes {
+		suspect.Crashes[i].Cleared = true
+	}
 	gw.dispatcher.MergeEvidence(time.Now(), []message.SuspectRecord{suspect})
 	waitFor(t, "the record is deleted", func() bool { return len(recorded()) == 0 })
 }
--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -115,9 +115,6 @@
 	// The writer's clock may be ahead.
 	age := max(wallClock.UnixMilli()-entry.WrittenAt, 0)
 	record := entry.Record
-	if record.Cleared != nil {
-		*record.Cleared += age
-	}
 	for i := range record.Crashes {
 		record.Crashes[i].Began += age
 		record.Crashes[i].Ended += age
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -26,6 +26,9 @@
 	// Milliseconds since the request was sent to the server.
 	Began int64 `json:"Began"`
 
+	// Whether the suspect has since run without a crash.
+	Cleared bool `json:"Cleared,omitempty,omitzero"`
+
 	// Whether the server refused connections afterwards.
 	Confirmed bool `json:"Confirmed,omitempty,omitzero"`
 
@@ -487,11 +490,7 @@
 
 // SuspectRecord holds the crashes of the backend servers that ran one suspect.
 type SuspectRecord struct {
-	// Milliseconds since a run of the suspect last did not crash its server; absent
-	// if that is not known.
-	Cleared *int64 `json:"Cleared,omitempty,omitzero"`
-
-	// Runs after that at which the server crashed.
+	// Runs at which the server crashed, each of another server incarnation.
 	Crashes []CrashedRun `json:"Crashes"`
 
 	// Whether the suspect is a part of prompts, not a request.
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -18,8 +18,8 @@
 	evidenceExpiry = 10 * time.Minute
 	// maxRecordRuns bounds the runs kept for one suspect.
 	maxRecordRuns = 16
-	// clearedMemory is how long a cleared suspect is kept, so that reports of earlier
-	// crashes that arrive late have no effect.
+	// clearedMemory is how long a suspect is kept all of whose runs are cleared, so that
+	// reports of them that arrive late have no effect.
 	clearedMemory = 10 * time.Second
 )
 
@@ -43,6 +43,8 @@
 	// Confirmed means that the server refused connections afterwards. Otherwise it may have
 	// lost only this connection.
 	Confirmed bool
+	// Cleared means that the suspect has since run without a crash.
+	Cleared bool
 }
 
 // ServerKey identifies an incarnation of a server in a Run.
@@ -62,7 +64,8 @@
 //
 // A suspect that finishes is cleared: its earlier crashes no longer count. A crash that a
 // part shares with a part of stronger evidence does not count against it. Merging the records
-// of peers is commutative and idempotent, as far as their clocks agree.
+// of peers is commutative and idempotent: runs are united, and a run is cleared when either
+// side cleared it. It compares no times, which shift with each hop.
 //
 // Evidence is not safe for concurrent use. The zero value is ready to use.
 type Evidence struct {
@@ -74,7 +77,7 @@
 	lastSweep time.Time
 }
 
-// record holds the crashes of one suspect since it was last cleared.
+// record holds the crashes of one suspect.
 type record struct {
 	part bool
 	// refused is set while the part is refused, which takes less evidence than to begin.
@@ -82,9 +85,8 @@
 	// runs are the crashed runs in the order in which they ended, one for each server.
 	runs []Run
 	// counted are the runs that count as crashes, and inTurn is the length of their sequence.
-	counted   []Run
-	inTurn    int
-	clearedAt time.Time
+	counted []Run
+	inTurn  int
 }
 
 // Lost records that the connections of a run with the given suspects were closed by its
@@ -101,10 +103,11 @@
 // Survived records that a run with the given suspects did not crash its server.
 func (e *Evidence) Survived(now time.Time, suspects []Suspect) {
 	for _, s := range suspects {
-		if r := e.records[s.Fingerprint]; r != nil && r.clear(now) {
+		if r := e.records[s.Fingerprint]; r != nil && r.clear() {
 			e.changed[s.Fingerprint] = true
 		}
 	}
+	e.sweep(now)
 }
 
 // Refused returns the suspects that are refused, in order.
@@ -122,14 +125,14 @@
 // HasCrashes reports whether a suspect has crashes that it was not cleared of.
 func (e *Evidence) HasCrashes(now time.Time, f Fingerprint) bool {
 	r := e.records[f]
-	return r != nil && len(r.runs) > 0 && !r.expired(now)
+	return r != nil && r.hasOpenRuns() && !r.expired(now)
 }
 
 // Len returns the number of suspects with crashes.
 func (e *Evidence) Len() int {
 	n := 0
 	for _, r := range e.records {
-		if len(r.runs) > 0 {
+		if r.hasOpenRuns() {
 			n++
 		}
 	}
@@ -161,16 +164,10 @@
 func (e *Evidence) Merge(now time.Time, records []message.SuspectRecord) []message.SuspectRecord {
 	var news []message.SuspectRecord
 	for _, m := range records {
-		if m.Cleared == nil && len(m.Crashes) == 0 {
-			continue
-		}
 		s := Suspect{Fingerprint(m.Suspect), m.Part}
 		changed := false
-		if m.Cleared != nil {
-			changed = e.recordOf(s).clear(ago(now, *m.Cleared))
-		}
 		for _, c := range m.Crashes {
-			run := Run{Server: c.Server, Began: ago(now, c.Began), Ended: ago(now, c.Ended), Confirmed: c.Confirmed}
+			run := Run{Server: c.Server, Began: ago(now, c.Began), Ended: ago(now, c.Ended), Confirmed: c.Confirmed, Cleared: c.Cleared}
 			if now.Sub(run.Ended) < evidenceExpiry && e.add(s, run) {
 				changed = true
 			}
@@ -229,7 +226,7 @@
 	}
 	order := slices.SortedFunc(maps.Keys(e.records), func(a, b Fingerprint) int {
 		x, y := e.records[a], e.records[b]
-		return cmp.Or(cmp.Compare(len(x.runs), len(y.runs)), x.last().Compare(y.last()), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(len(x.counted), len(y.counted)), x.last().Compare(y.last()), cmp.Compare(a, b))
 	})
 	for _, f := range order[:len(order)-defaultMaxEntries*7/8] {
 		e.remove(f)
@@ -243,13 +240,12 @@
 
 // add adds a crashed run and reports whether the record changed.
 func (r *record) add(run Run) bool {
-	if !run.Ended.After(r.clearedAt) {
-		return false
-	}
 	defer r.count()
 	if i := slices.IndexFunc(r.runs, func(o Run) bool { return o.Server == run.Server }); i >= 0 {
-		changed := run.Confirmed && !r.runs[i].Confirmed
-		r.runs[i].Confirmed = r.runs[i].Confirmed || run.Confirmed
+		known := &r.runs[i]
+		changed := run.Confirmed && !known.Confirmed || run.Cleared && !known.Cleared
+		known.Confirmed = known.Confirmed || run.Confirmed
+		known.Cleared = known.Cleared || run.Cleared
 		return changed
 	}
 	at, _ := slices.BinarySearchFunc(r.runs, run, func(a, b Run) int {
@@ -257,27 +253,35 @@
 	})
 	r.runs = slices.Insert(r.runs, at, run)
 	if len(r.runs) <= maxRecordRuns {
-		return true
+		return !run.Cleared
 	}
 	// A run outside the sequence says nothing that the others do not. A sequence this long
 	// is far beyond the limits.
-	inTurn := sequence(r.runs)
-	drop := slices.IndexFunc(r.runs, func(o Run) bool { return !slices.Contains(inTurn, o) })
+	drop := slices.IndexFunc(r.runs, func(o Run) bool { return o.Cleared })
 	if drop < 0 {
-		drop = 0
+		inTurn := sequence(r.runs)
+		drop = max(0, slices.IndexFunc(r.runs, func(o Run) bool { return !slices.Contains(inTurn, o) }))
 	}
 	dropped := r.runs[drop]
 	r.runs = slices.Delete(r.runs, drop, drop+1)
-	return dropped != run
+	return !run.Cleared && dropped != run
 }
 
-// clear removes the crashes up to a time and reports whether there were any.
-func (r *record) clear(at time.Time) bool {
-	r.clearedAt = later(r.clearedAt, at)
-	before := len(r.runs)
-	r.runs = slices.DeleteFunc(r.runs, func(o Run) bool { return !o.Ended.After(r.clearedAt) })
+// clear clears all runs and reports whether one was not cleared before.
+func (r *record) clear() bool {
+	if !r.hasOpenRuns() {
+		return false
+	}
+	for i := range r.runs {
+		r.runs[i].Cleared = true
+	}
 	r.count()
-	return len(r.runs) < before
+	return true
+}
+
+// hasOpenRuns reports whether a run is not cleared.
+func (r *record) hasOpenRuns() bool {
+	return slices.ContainsFunc(r.runs, func(run Run) bool { return !run.Cleared })
 }
 
 // count updates counted and inTurn.
@@ -286,37 +290,33 @@
 	if r.part {
 		limit = maxPartCrashes
 	}
-	r.counted = slices.Clone(r.runs)
-	if len(r.runs) < unconfirmedFactor*limit {
+	r.counted = slices.DeleteFunc(slices.Clone(r.runs), func(run Run) bool { return run.Cleared })
+	if len(r.counted) < unconfirmedFactor*limit {
 		r.counted = slices.DeleteFunc(r.counted, func(run Run) bool { return !run.Confirmed })
 	}
 	r.inTurn = len(sequence(r.counted))
 }
 
-// last returns when the record last changed.
+// last returns when the last run ended.
 func (r *record) last() time.Time {
 	if len(r.runs) == 0 {
-		return r.clearedAt
+		return time.Time{}
 	}
 	return r.runs[len(r.runs)-1].Ended
 }
 
 func (r *record) expired(now time.Time) bool {
-	if len(r.runs) == 0 {
-		return now.Sub(r.clearedAt) > clearedMemory
+	if !r.hasOpenRuns() {
+		return now.Sub(r.last()) > clearedMemory
 	}
 	return now.Sub(r.last()) > evidenceExpiry
 }
 
 func (r *record) encode(now time.Time, f Fingerprint) message.SuspectRecord {
 	m := message.SuspectRecord{Suspect: uint64(f), Part: r.part}
-	if !r.clearedAt.IsZero() {
-		age := now.Sub(r.clearedAt).Milliseconds()
-		m.Cleared = &age
-	}
 	for _, run := range r.runs {
 		m.Crashes = append(m.Crashes, message.CrashedRun{
-			Server: run.Server, Began: now.Sub(run.Began).Milliseconds(), Ended: now.Sub(run.Ended).Milliseconds(), Confirmed: run.Confirmed,
+			Server: run.Server, Began: now.Sub(run.Began).Milliseconds(), Ended: now.Sub(run.Ended).Milliseconds(), Confirmed: run.Confirmed, Cleared: run.Cleared,
 		})
 	}
 	return m
--- a/internal/quarantine/evidence_test.go
+++ b/internal/quarantine/evidence_test.go
@@ -81,14 +81,10 @@
 	rapid.Check(t, func(t *rapid.T) {
 		record := rapid.Custom(func(t *rapid.T) message.SuspectRecord {
 			r := message.SuspectRecord{Suspect: rapid.Uint64Range(1, 3).Draw(t, "suspect")}
-			if rapid.Bool().Draw(t, "cleared") {
-				age := rapid.Int64Range(0, 9).Draw(t, "age") * 1000
-				r.Cleared = &age
-			}
 			for range rapid.IntRange(0, 4).Draw(t, "crashes") {
 				// A server has one end, whoever reports it.
 				server := rapid.Uint64Range(1, 10).Draw(t, "server")
-				r.Crashes = append(r.Crashes, message.CrashedRun{Server: server, Began: int64(server)*800 + 500, Ended: int64(server) * 800}) //nolint:gosec // Small.
+				r.Crashes = append(r.Crashes, message.CrashedRun{Server: server, Began: int64(server)*800 + 500, Ended: int64(server) * 800, Confirmed: rapid.Bool().Draw(t, "confirmed"), Cleared: rapid.Bool().Draw(t, "cleared")}) //nolint:gosec // Small.
 			}
 			return r
 		})
@@ -139,3 +135,50 @@
 		t.Errorf("%d runs of one suspect, want at most %d", n, maxRecordRuns)
 	}
 }
+
+// Guards against daemons that forward the same crash and its clearing to one another for ever,
+// because its age shifts with the delay of each hop.
+func TestForwardedEvidenceSettles(t *testing.T) {
+	const (
+		daemons     = 4
+		delay       = 40 * time.Millisecond
+		maxMessages = 100
+	)
+	type delivery struct {
+		at      time.Time
+		to      int
+		records []message.SuspectRecord
+	}
+	var evidence [daemons]Evidence
+	var queue []delivery
+	messages := 0
+	forward := func(now time.Time, from int, records []message.SuspectRecord) {
+		for to := range daemons {
+			if to != from && len(records) > 0 {
+				queue = append(queue, delivery{now.Add(delay), to, records})
+				messages++
+			}
+		}
+	}
+	run := crashAt("a", 0, 100)
+	evidence[0].Lost(run.Ended, run, request(1))
+	forward(run.Ended, 0, evidence[0].TakeChanges(run.Ended))
+	for len(queue) > 0 && messages <= maxMessages {
+		d := queue[0]
+		queue = queue[1:]
+		forward(d.at, d.to, evidence[d.to].Merge(d.at, d.records))
+		// The suspect is often run, and runs through.
+		if n := evidence[d.to].Len(); n > 0 && messages > daemons {
+			evidence[d.to].Survived(d.at, request(1))
+			forward(d.at, d.to, evidence[d.to].TakeChanges(d.at))
+		}
+	}
+	if messages > maxMessages {
+		t.Errorf("more than %d messages about one crash", maxMessages)
+	}
+	for i := range evidence {
+		if evidence[i].HasCrashes(evidenceTime(1000), 1) {
+			t.Errorf("daemon %d has an open crash", i)
+		}
+	}
+}
