gateway: send evidence with statuses and rows

Cause: each daemon sent what changed to all its peers 20 times a second, and delegates forwarded each message at once.

Evidence now travels in the status to the peers of the place (150 ms) and in the rows between places (250 ms), so that it adds bytes but no messages. A part that ran here without a crash in the last two seconds is no suspect. A delegate encodes what it forwards anew, so that ages include the wait.

--- a/internal/dispatch/suspicion.go
+++ b/internal/dispatch/suspicion.go
@@ -65,13 +65,20 @@
 	return d.Evidence.TakeChanges(now)
 }
 
-// MergeEvidence merges evidence of other daemons and returns what of it was new.
-func (d *Dispatcher) MergeEvidence(now time.Time, records []message.SuspectRecord) []message.SuspectRecord {
+// MergeEvidence merges evidence of other daemons and returns the suspects of which it was new.
+func (d *Dispatcher) MergeEvidence(now time.Time, records []message.SuspectRecord) []quarantine.Fingerprint {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.Evidence.Merge(now, records)
 }
 
+// EvidenceOn returns the evidence on suspects.
+func (d *Dispatcher) EvidenceOn(now time.Time, suspects []quarantine.Fingerprint) []message.SuspectRecord {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.Evidence.Records(now, suspects)
+}
+
 // HasCrashes reports whether there is evidence against a suspect.
 func (d *Dispatcher) HasCrashes(now time.Time, suspect quarantine.Fingerprint) bool {
 	d.mu.Lock()
--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -27,35 +28,54 @@
 	maxRecordDelay = time.Second
 )
 
-// sendEvidence sends the evidence that changed here to the peers. The interval between calls
-// gathers the requests of servers that crash at the same moment.
-func (g *Gateway) sendEvidence(now time.Time) {
-	if records := g.dispatcher.TakeEvidence(now); len(records) > 0 {
-		g.broadcastEvidence(records, func(message.Hello) bool { return true })
+// takeEvidence returns the evidence that changed here since the last call, for the peers that
+// get the status of this daemon.
+func (g *Gateway) takeEvidence(now time.Time) []message.SuspectRecord {
+	records := g.dispatcher.TakeEvidence(now)
+	suspects := make([]quarantine.Fingerprint, len(records))
+	for i, r := range records {
+		suspects[i] = quarantine.Fingerprint(r.Suspect)
 	}
+	g.noteEvidenceNews(true, suspects)
+	return records
 }
 
-// broadcastEvidence sends records to the linked peers for which include returns true.
-func (g *Gateway) broadcastEvidence(records []message.SuspectRecord, include func(message.Hello) bool) {
-	sendToLinked(g, message.KindEvidence, message.Evidence{Records: records}, include)
+// mergeEvidence merges the evidence of a daemon in a place.
+func (g *Gateway) mergeEvidence(now time.Time, place string, records []message.SuspectRecord) {
+	if len(records) > 0 {
+		g.noteEvidenceNews(place == g.Place, g.dispatcher.MergeEvidence(now, records))
+	}
 }
 
-// sendRefusedSuspects sends a new peer the evidence on the suspects that are refused.
-func (g *Gateway) sendRefusedSuspects(now time.Time, peer string) {
-	if records := g.dispatcher.RefusedSuspects(now); len(records) > 0 {
-		g.broadcastEvidence(records, func(p message.Hello) bool { return p.Daemon == peer })
+// noteEvidenceNews keeps the suspects of which a delegate forwards the evidence.
+func (g *Gateway) noteEvidenceNews(fromOwnPlace bool, suspects []quarantine.Fingerprint) {
+	if v := g.view.Load(); len(suspects) == 0 || !v.byPlace() || !v.Delegate {
+		return
+	}
+	g.evidenceNewsMu.Lock()
+	defer g.evidenceNewsMu.Unlock()
+	for _, f := range suspects {
+		g.evidenceNews[fromOwnPlace][f] = true
 	}
 }
 
-// handleEvidence merges the evidence of a peer. With links by place, a delegate forwards
-// what is new: from its own place to other places, and from those to its own.
-func (g *Gateway) handleEvidence(now time.Time, from message.Hello, m message.Evidence) {
-	news := g.dispatcher.MergeEvidence(now, m.Records)
-	if v := g.view.Load(); len(news) == 0 || !v.byPlace() || !v.Delegate {
-		return
+// takeEvidenceNews returns the evidence to forward since the last call.
+func (g *Gateway) takeEvidenceNews(now time.Time, fromOwnPlace bool) []message.SuspectRecord {
+	g.evidenceNewsMu.Lock()
+	suspects := slices.Collect(maps.Keys(g.evidenceNews[fromOwnPlace]))
+	clear(g.evidenceNews[fromOwnPlace])
+	g.evidenceNewsMu.Unlock()
+	if len(suspects) == 0 {
+		return nil
+	}
+	return g.dispatcher.EvidenceOn(now, suspects)
+}
+
+// sendRefusedSuspects sends a new peer the evidence on the suspects that are refused.
+func (g *Gateway) sendRefusedSuspects(now time.Time, peer string) {
+	if records := g.dispatcher.RefusedSuspects(now); len(records) > 0 {
+		sendToLinked(g, message.KindEvidence, message.Evidence{Records: records}, func(p message.Hello) bool { return p.Daemon == peer })
 	}
-	fromOwnPlace := from.Place == g.Place
-	g.broadcastEvidence(news, func(p message.Hello) bool { return (p.Place != g.Place) == fromOwnPlace })
 }
 
 // suspectEntry is the value of a suspect's entry in the store.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -144,6 +144,11 @@
 
 	demand *demandTracker
 
+	// evidenceNews holds the suspects of which this daemon, as a delegate, has news to forward:
+	// from its own place (true) to other places, and from those to its own.
+	evidenceNewsMu sync.Mutex
+	evidenceNews   map[bool]map[quarantine.Fingerprint]bool
+
 	// recordedSuspects holds the suspects that have a record in the store, with its
 	// revision.
 	recordedSuspectsMu sync.Mutex
@@ -179,6 +184,7 @@
 	g.counts, g.clock = accounting.NewUsageCounter(), accounting.NewClock()
 	g.demand = newDemandTracker()
 	g.recordedSuspects = map[uint64]int64{}
+	g.evidenceNews = map[bool]map[quarantine.Fingerprint]bool{true: {}, false: {}}
 	g.rows, g.placeLoads = map[string]daemonRow{}, map[string]placeLoads{}
 	g.drained = make(chan struct{})
 	if g.Metrics == nil {
@@ -254,8 +260,7 @@
 	return firstErr
 }
 
-// tickInterval is how often the dispatcher drops expired requests, and evidence that changed
-// here is sent to the peers.
+// tickInterval is how often the dispatcher drops expired requests.
 const tickInterval = 50 * time.Millisecond
 
 // sweepInterval is how often idle backend connections are closed.
@@ -273,7 +278,6 @@
 		}
 		now := time.Now()
 		g.dispatcher.Tick(now)
-		g.sendEvidence(now)
 		if now.Sub(swept) < sweepInterval {
 			continue
 		}
--- a/internal/gateway/rows.go
+++ b/internal/gateway/rows.go
@@ -186,11 +186,13 @@
 			rows = quotaUseOnly(rows)
 		}
 		ownPlaceRows := encodeRows(now, rows)
+		ownPlaceRows.Evidence = g.takeEvidenceNews(now, true)
 		g.sendRows(ownPlaceRows, func(p message.Hello) bool { return p.Region != g.Region })
 		ownPlaceRows.Loads = []message.PlaceLoads{{Place: g.Place, Loads: encodeLoads(g.dispatcher.LoadsInPlace(now))}}
 		g.sendRows(ownPlaceRows, func(p message.Hello) bool { return p.Region == g.Region && p.Place != g.Place })
 		otherPlaceRows := encodeRows(now, quotaUseOnly(g.recentRows(now, false)))
 		otherPlaceRows.Loads = g.otherPlaceLoads(now)
+		otherPlaceRows.Evidence = g.takeEvidenceNews(now, false)
 		g.sendRows(otherPlaceRows, func(p message.Hello) bool { return p.Place == g.Place })
 	}
 }
@@ -241,7 +243,7 @@
 
 // sendRows sends rows to the peers for which include returns true.
 func (g *Gateway) sendRows(m message.Rows, include func(message.Hello) bool) {
-	if len(m.Rows) == 0 && len(m.Loads) == 0 {
+	if len(m.Rows) == 0 && len(m.Loads) == 0 && len(m.Evidence) == 0 {
 		return
 	}
 	sendToLinked(g, message.KindRows, m, include)
@@ -266,8 +268,9 @@
 }
 
 // handleRows applies the rows of other places.
-func (g *Gateway) handleRows(now time.Time, m message.Rows) {
+func (g *Gateway) handleRows(now time.Time, from message.Hello, m message.Rows) {
 	g.handlePlaceLoads(now, m.Loads)
+	g.mergeEvidence(now, from.Place, m.Evidence)
 	for _, r := range decodeRows(now, m) {
 		if r.place == g.Place {
 			continue
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -33,7 +33,7 @@
 	}
 	own := encodeRows(now, []daemonRow{g.ownRow(now)})
 	loads := encodeLoads(g.dispatcher.OwnLoads())
-	s.Own, s.Loads = &own, &loads
+	s.Own, s.Loads, s.Evidence = &own, &loads, g.takeEvidence(now)
 	g.sentPromptsMu.Lock()
 	s.Sent, g.sentPrompts = g.sentPrompts, nil
 	g.sentPromptsMu.Unlock()
@@ -58,14 +58,14 @@
 			g.Log.Info("rows not readable", "Peer", from.Daemon, "Error", err.Error())
 			return
 		}
-		g.handleRows(now, m)
+		g.handleRows(now, from, m)
 	case message.KindEvidence:
 		m, err := message.Decode[message.Evidence](e)
 		if err != nil {
 			g.Log.Info("evidence not readable", "Peer", from.Daemon, "Error", err.Error())
 			return
 		}
-		g.handleEvidence(now, from, m)
+		g.mergeEvidence(now, from.Place, m.Records)
 	case message.KindListing:
 		m, err := message.Decode[message.Listing](e)
 		if err != nil {
@@ -100,6 +100,7 @@
 		}
 		g.dispatcher.RecordPeerPrompt(p.Server, parts, p.Expected)
 	}
+	g.mergeEvidence(now, from.Place, s.Evidence)
 	if s.Loads != nil {
 		g.dispatcher.SetPeerLoads(now, from.Daemon, decodeLoads(s.Loads))
 	}
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -121,9 +121,9 @@
 	Kind Kind `json:"Kind"`
 }
 
-// Evidence carries what the sender knows of crashes of backend servers.
+// Evidence tells a peer that has just connected which suspects are refused.
 type Evidence struct {
-	// Records that changed.
+	// Records of the suspects.
 	Records []SuspectRecord `json:"Records"`
 }
 
@@ -370,6 +370,10 @@
 // Rows carries the rows of several daemons. Lists by organisation are in the order
 // of Organisations, so that each name is sent only once.
 type Rows struct {
+	// Records of suspects that are new to the sender from its own place or, for
+	// receivers in its place, from other places.
+	Evidence []SuspectRecord `json:"Evidence,omitempty,omitzero"`
+
 	// Load that the other places of the receiver's region put on backend servers.
 	Loads []PlaceLoads `json:"Loads,omitempty,omitzero"`
 
@@ -440,6 +444,9 @@
 	// Whether the sender holds the lease of the duty.
 	Duty bool `json:"Duty,omitempty,omitzero"`
 
+	// Records of suspects that changed at the sender since its last status.
+	Evidence []SuspectRecord `json:"Evidence,omitempty,omitzero"`
+
 	// Backend servers with requests of the sender; the sender has none at any other
 	// server.
 	Loads *ServerLoads `json:"Loads,omitempty,omitzero"`
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -18,6 +18,9 @@
 	evidenceExpiry = 10 * time.Minute
 	// maxRecordRuns bounds the runs kept for one suspect.
 	maxRecordRuns = 16
+	// survivalMemory is how long a part that ran without a crash is not a suspect here. It
+	// spares the peers reports of parts that most prompts share.
+	survivalMemory = 2 * time.Second
 	// clearedMemory is how long a suspect is kept all of whose runs are cleared, so that
 	// reports of them that arrive late have no effect.
 	clearedMemory = 10 * time.Second
@@ -73,7 +76,9 @@
 	// changed holds the suspects whose records peers have not been sent yet.
 	changed map[Fingerprint]bool
 	// crashes holds when the servers of requests with parts crashed, for crashMemory.
-	crashes   map[uint64]time.Time
+	crashes map[uint64]time.Time
+	// survivals holds when parts last ran here without a crash, for survivalMemory.
+	survivals map[Fingerprint]time.Time
 	lastSweep time.Time
 }
 
@@ -93,6 +98,9 @@
 // server.
 func (e *Evidence) Lost(now time.Time, run Run, suspects []Suspect) {
 	for _, s := range suspects {
+		if at, ok := e.survivals[s.Fingerprint]; ok && now.Sub(at) < survivalMemory {
+			continue
+		}
 		if e.add(s, run) {
 			e.changed[s.Fingerprint] = true
 		}
@@ -103,6 +111,9 @@
 // Survived records that a run with the given suspects did not crash its server.
 func (e *Evidence) Survived(now time.Time, suspects []Suspect) {
 	for _, s := range suspects {
+		if s.Part {
+			e.noteSurvival(now, s.Fingerprint)
+		}
 		if r := e.records[s.Fingerprint]; r != nil && r.clear() {
 			e.changed[s.Fingerprint] = true
 		}
@@ -122,6 +133,13 @@
 	return list
 }
 
+func (e *Evidence) noteSurvival(now time.Time, f Fingerprint) {
+	if e.survivals == nil {
+		e.survivals = map[Fingerprint]time.Time{}
+	}
+	e.survivals[f] = now
+}
+
 // HasCrashes reports whether a suspect has crashes that it was not cleared of.
 func (e *Evidence) HasCrashes(now time.Time, f Fingerprint) bool {
 	r := e.records[f]
@@ -160,9 +178,9 @@
 	return list
 }
 
-// Merge merges the records of a peer and returns those that changed the evidence.
-func (e *Evidence) Merge(now time.Time, records []message.SuspectRecord) []message.SuspectRecord {
-	var news []message.SuspectRecord
+// Merge merges the records of a peer and returns the suspects whose evidence it changed.
+func (e *Evidence) Merge(now time.Time, records []message.SuspectRecord) []Fingerprint {
+	var news []Fingerprint
 	for _, m := range records {
 		s := Suspect{Fingerprint(m.Suspect), m.Part}
 		changed := false
@@ -173,7 +191,7 @@
 			}
 		}
 		if changed {
-			news = append(news, m)
+			news = append(news, s.Fingerprint)
 		}
 	}
 	e.sweep(now)
@@ -216,6 +234,7 @@
 	}
 	e.lastSweep = now
 	maps.DeleteFunc(e.crashes, func(_ uint64, at time.Time) bool { return now.Sub(at) > crashMemory })
+	maps.DeleteFunc(e.survivals, func(_ Fingerprint, at time.Time) bool { return now.Sub(at) > survivalMemory })
 	for f, r := range e.records {
 		if r.expired(now) {
 			e.remove(f)
