gateway: let only delegates watch the records of suspects

With links by place all 74 daemons watched them. Delegates now watch and write the records, and tell the daemons of their place. TestStoredSuspectReachesAllDaemonsOfPlace fails if they do not.

--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -351,6 +351,24 @@
 	}
 }
 
+// TestStoredSuspectReachesAllDaemonsOfPlace guards against a daemon that runs a refused suspect
+// because only the delegates of its place watch the store.
+func TestStoredSuspectReachesAllDaemonsOfPlace(t *testing.T) {
+	env := newTestEnv(t)
+	gateways := env.startLinked([]string{"a"}, 1)
+	env.store.set(suspectPrefix+"unreadable", "") // Ends the first watch of the others.
+	time.Sleep(200 * time.Millisecond)
+	record := message.SuspectRecord{Suspect: 7}
+	for i := range uint64(3) {
+		age := int64(1000 - 100*i) //nolint:gosec // Small.
+		record.Crashes = append(record.Crashes, message.CrashedRun{Server: i, Began: age, Ended: age - 50, Confirmed: true})
+	}
+	env.store.set(suspectKey(record.Suspect), suspectEntry{WrittenAt: time.Now().UnixMilli(), Record: record})
+	for _, gw := range gateways {
+		waitFor(t, "the suspect is refused", func() bool { return len(gw.dispatcher.RefusedSuspects(time.Now())) == 1 })
+	}
+}
+
 // TestRecordOfClearedSuspectIsDeleted guards against a suspect that later daemons refuse although
 // it was cleared, and against deleting the record of one that was not.
 func TestRecordOfClearedSuspectIsDeleted(t *testing.T) {
--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -21,6 +21,9 @@
 	// suspectPrefix is the key prefix of the records of refused suspects. They outlast the
 	// daemons.
 	suspectPrefix = "suspects/"
+	// delegateCheckInterval is how often a daemon that does not watch the records checks whether
+	// it has become a delegate.
+	delegateCheckInterval = time.Second
 	// recordInterval is how often a daemon looks for refused suspects without a record.
 	recordInterval = 500 * time.Millisecond
 	// maxRecordDelay bounds the random wait before a record is written. Usually the first
@@ -88,7 +91,8 @@
 func suspectKey(suspect uint64) string { return suspectPrefix + fmt.Sprintf("%016x", suspect) }
 
 // watchSuspects merges the records of refused suspects in the store, so that a daemon
-// refuses them also when it has started after the crashes or has no link to its peers.
+// refuses them also when it has started after the crashes or has no link to its peers. With
+// links by place, a daemon that is no delegate reads them once, when it starts.
 func (g *Gateway) watchSuspects(ctx context.Context) error {
 	g.watchPrefix(ctx, "suspects", suspectPrefix, func(entries []keyvalue.Entry, fullList bool) {
 		now, wallClock := time.Now(), time.Now()
@@ -114,14 +118,18 @@
 		}
 		// A suspect is refused before its record is known, so that the record is not taken
 		// for an unneeded one.
-		g.dispatcher.MergeEvidence(now, records)
+		g.noteEvidenceNews(false, g.dispatcher.MergeEvidence(now, records))
 		g.recordedSuspectsMu.Lock()
-		defer g.recordedSuspectsMu.Unlock()
 		if fullList {
 			clear(g.recordedSuspects)
 		}
 		maps.Copy(g.recordedSuspects, recorded)
 		maps.DeleteFunc(g.recordedSuspects, func(suspect uint64, _ int64) bool { return deleted[suspect] })
+		g.recordedSuspectsMu.Unlock()
+		// Delegates tell the other daemons of their place.
+		for v := g.view.Load(); v.byPlace() && !v.Delegate && sleep(ctx, delegateCheckInterval); v = g.view.Load() {
+			continue
+		}
 	})
 	return nil
 }
@@ -146,6 +154,9 @@
 func (g *Gateway) recordSuspects(ctx context.Context) error {
 	dep := dependency{g: g, name: "suspect records"}
 	for sleep(ctx, recordInterval) {
+		if v := g.view.Load(); v.byPlace() && !v.Delegate {
+			continue // The delegates watch the records and know which are missing.
+		}
 		refused := g.dispatcher.RefusedSuspects(time.Now())
 		if len(g.withoutRecord(refused)) > 0 {
 			sleep(ctx, rand.N(maxRecordDelay)) //nolint:gosec // Not for secrets.
