--- a/internal/quarantine/refusal.go
+++ b/internal/quarantine/refusal.go
@@ -37,8 +37,8 @@
 // Refuses reports whether a request with the given suspects must not run, and which
 // suspect is the reason.
 //
-// Parts that were at exactly the same crashes can't be told apart. A request with some of them
-// runs, so that its outcome decides; one with all of them does not.
+// Parts with the same crashes are indistinguishable. A request with only some of them may run,
+// because its outcome separates them.
 func (e *Evidence) Refuses(now time.Time, suspects []Suspect) (Fingerprint, bool) {
 	for _, s := range suspects {
 		if e.refused(now, s.Fingerprint) && e.hasAllIndistinguishable(now, s.Fingerprint, suspects) {
