--- a/internal/quarantine/evidence_part_test.go
+++ b/internal/quarantine/evidence_part_test.go
@@ -191,3 +191,12 @@
 		}
 	}
 }
+
+// Guards against refusing sound requests in a sequence of crashes that the seeds above miss.
+func TestEvidenceSparesPartsInCrashesOfSeed58(t *testing.T) {
+	c := crashSimulation{random: rand.New(rand.NewPCG(58, 1))} //nolint:gosec // Not for secrets.
+	c.run(0)
+	if c.soundRefused > 0 {
+		t.Errorf("%d sound requests were refused", c.soundRefused)
+	}
+}
