backend, gateway: do not take a repeated refusal for the answer to a later request

Cause: a faulty server may write an earlier refusal once more on a kept connection. Response.readHead took a refusal without an id (400, 421, 503) as that of the request in flight, also on a connection that had carried another request. Because the attempt id is the caller's, a copy of the refusal of a first send matched a second send on the same connection. The caller was told 'not run' of a request that runs, or it ran twice.

Change: on a connection that was used before, a response without an id is incomplete, so that the request may have run. A request that was sent to a server before gets a new connection there. Only a second send to the same server costs a connection; connections that carried refusals are kept, since busy servers refuse often.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -64,6 +64,10 @@
 	Attempt string
 	// AtMostOnce is set if the request must not be sent twice.
 	AtMostOnce bool
+	// Resent is set if an attempt with the same id was sent to this server before. A late
+	// copy of the response to it would be indistinguishable, so that the request gets a new
+	// connection.
+	Resent bool
 }
 
 // Response is the response to a request. It must be closed.
@@ -88,6 +92,8 @@
 	stopWatching   func() bool // Stops closing conn at the end of the context.
 	bodyComplete   bool
 	reusable       bool
+	// connReused is set if the connection has carried another request before.
+	connReused bool
 }
 
 // bufferedReader reads a connection. It limits the bytes of a head, which http.ReadResponse
@@ -117,7 +123,10 @@
 // context ends, the connection is closed, even while the body is being read. Errors are
 // ErrNotSent or ErrIncomplete.
 func (p *Pool) Do(ctx context.Context, now time.Time, address string, q *Request) (*Response, error) {
-	c := p.takeIdle(now, address, q.AtMostOnce)
+	var c *conn
+	if !q.Resent {
+		c = p.takeIdle(now, address, q.AtMostOnce)
+	}
 	if c == nil {
 		var err error
 		if c, err = p.dial(ctx, address); err != nil {
@@ -128,7 +137,8 @@
 		p.addIdle(c)
 		return nil, errors.Annotatef(ErrNotSent, "%v", context.Cause(ctx))
 	}
-	r := &Response{conn: c, pool: p}
+	r := &Response{conn: c, pool: p, connReused: c.used}
+	c.used = true
 	r.stopWatching = context.AfterFunc(ctx, func() { _ = c.Close() }) // Unblocks a pending read.
 	head := q.head()
 	if len(q.Body) > concurrentWriteBytes {
@@ -196,7 +206,9 @@
 		r.CloseDelimited = head.ContentLength < 0 && len(head.TransferEncoding) == 0
 		r.Signed = head.Header.Get(names.Signature) != ""
 		r.NotRun = head.Header.Get(names.NotRun) != "" || head.StatusCode == http.StatusMisdirectedRequest
-		if id == "" && !r.NotRun {
+		// On a connection that has carried another request, a response without an id may be
+		// a copy of an earlier one.
+		if id == "" && (!r.NotRun || r.connReused) {
 			return errors.Errorf("response with status %d has no request id", r.Status)
 		}
 		r.reusable = !head.Close && !r.CloseDelimited
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -70,6 +70,8 @@
 	net.Conn
 	address string
 	reader  *bufferedReader
+	// used is set once a request was sent on the connection.
+	used bool
 	// usableUntil is the time after which the connection must not be reused.
 	usableUntil time.Time
 	// idleSince is when the last response was completed.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -220,6 +221,7 @@
 	s.logRouting(grant)
 	g.demand.addSentPrompt(s.service, &s.call, grant.Decision.CachedTokens)
 	req := s.backendRequest(server, remaining)
+	s.sentTo = append(s.sentTo, server.Address)
 	g.recordSentPrompt(server.ID, &s.call)
 	res, err := g.Backends.Do(ctx, now, server.Address, req)
 	if err != nil {
@@ -248,8 +250,10 @@
 		target = s.r.URL.RequestURI()
 	}
 	return &backend.Request{
-		Method: s.r.Method, Target: target, Host: s.r.Host, Body: s.body, Attempt: s.call.ID, AtMostOnce: s.route.Repeat != route.Always && s.route.Repeat != route.Resume,
-		Header: s.g.Protocol.Encode(endToEndHeaders(s.r.Header), info),
+		Method: s.r.Method, Target: target, Host: s.r.Host, Body: s.body, Attempt: s.call.ID,
+		AtMostOnce: s.route.Repeat != route.Always && s.route.Repeat != route.Resume,
+		Resent:     slices.Contains(s.sentTo, server.Address),
+		Header:     s.g.Protocol.Encode(endToEndHeaders(s.r.Header), info),
 	}
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -95,7 +95,9 @@
 	// attemptsSent counts the attempts, and attemptsMayHaveRun those whose server may
 	// have run the request.
 	attemptsSent, attemptsMayHaveRun int
-	stream                           streamState
+	// sentTo holds the addresses of the servers to which the request was sent.
+	sentTo []string
+	stream streamState
 	// stop asks the running attempt to end; true means that its server is leaving.
 	stop chan bool
 }
