platform, fleet, gateway: check every field of entries and messages against its range

Cause: Decoder.Registration checked only that an entry has an address, a service and a known state. Ports 99999, -1 and 0, addresses that are no IP and port, -5 or 9e18 slots and times of 1e300 ms named servers; an id with a line break reached a header of requests. A value that is not base64 made the whole page of a listing unreadable. Negative ages in rows put them into the future, where they hid all later ones; ages of crashes could overflow.

Change: each field has a range, checked once where it is decoded. An entry outside them names no server and is logged, at most one line a listing. A known server is kept for 2 s, since it writes a readable entry with its next heartbeat (1.2 s) if it lives; it is removed after that, because another writer's entry may never be deleted. Entries of daemons and suspects, ages in messages, headers of callers and the Keep-Alive of servers the same.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -21,6 +21,8 @@
 	maxSkippedResponses = 3
 	// maxSkippedBodyBytes limits the skipped body of a response to another request.
 	maxSkippedBodyBytes = 64 << 10
+	// maxIdleTimeoutSeconds limits the idle timeout that a server states.
+	maxIdleTimeoutSeconds = 3600
 	// maxHeadBytes limits the head of a response. It is the limit for the heads of
 	// requests.
 	maxHeadBytes = 64 << 10
@@ -224,7 +226,7 @@
 	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
 		if v, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout="); ok {
 			if seconds, err := strconv.Atoi(v); err == nil {
-				timeout = time.Duration(seconds) * time.Second
+				timeout = time.Duration(max(0, min(seconds, maxIdleTimeoutSeconds))) * time.Second
 			}
 		}
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -23,6 +23,9 @@
 	// outageMemory is how long after an outage of the store an ended registration may
 	// have lapsed because of it.
 	outageMemory = 4 * time.Second
+	// unreadableGrace is how long a server is kept whose registration became unreadable. A
+	// server that lives rewrites its own within a heartbeat (1.2 s on the users' platform).
+	unreadableGrace = 2 * time.Second
 	// leavingMemory is how long a leaving incarnation is remembered.
 	leavingMemory = 5 * time.Minute
 )
@@ -56,6 +59,8 @@
 	ID       string
 	Revision int64
 	Server   *Server
+	// Unreadable is the reason why an entry that was not deleted names no server.
+	Unreadable string
 }
 
 // Member is a server in the set, with its state.
@@ -71,6 +76,8 @@
 	revision int64
 	// lapsedAt is when the registration ended, if the server may still be alive.
 	lapsedAt time.Time
+	// unreadableAt is when the registration was replaced by an unreadable one.
+	unreadableAt time.Time
 }
 
 // Accepting reports whether the server may get new work.
@@ -118,14 +125,18 @@
 	if m != nil && r.Revision <= m.revision {
 		return Change{}, false
 	}
-	if r.Server == nil {
+	switch {
+	case r.Unreadable != "":
+		return s.noteUnreadable(now, m, r.Revision)
+	case r.Server == nil:
 		return s.endRegistration(now, m, r.Revision)
 	}
 	if m == nil || m.Incarnation != r.Server.Incarnation {
 		return s.add(now, m, r)
 	}
 	before := m.Server
-	m.Server, m.revision, m.UpdatedAt, m.lapsedAt = *r.Server, r.Revision, now, time.Time{}
+	m.Server, m.revision, m.UpdatedAt = *r.Server, r.Revision, now
+	m.lapsedAt, m.unreadableAt = time.Time{}, time.Time{}
 	if m.Leaving && m.LeavingSince.IsZero() {
 		s.markLeaving(now, m)
 		return Change{Member: *m, Event: Leaving}, true
@@ -175,6 +186,19 @@
 	return s.remove(now, m), true
 }
 
+// noteUnreadable handles a registration that another writer may have spoilt. It keeps the
+// member, which Expire removes if the server does not write a readable one again.
+func (s *Set) noteUnreadable(now time.Time, m *Member, revision int64) (Change, bool) {
+	if m == nil {
+		return Change{}, false
+	}
+	m.revision = revision
+	if m.unreadableAt.IsZero() {
+		m.unreadableAt = now
+	}
+	return Change{Member: *m, Event: Changed}, true
+}
+
 func (s *Set) remove(now time.Time, m *Member) Change {
 	if m.LeavingSince.IsZero() {
 		m.LeavingSince, m.Leaving = now, true
@@ -206,12 +230,14 @@
 	return changes
 }
 
-// Expire removes members whose registration lapsed and has not returned within
-// lapseGrace.
+// Expire removes members whose registration lapsed and has not returned within lapseGrace,
+// or was unreadable for unreadableGrace.
 func (s *Set) Expire(now time.Time) []Change {
 	var changes []Change
 	for _, id := range slices.Sorted(maps.Keys(s.members)) {
-		if m := s.members[id]; !m.lapsedAt.IsZero() && now.Sub(m.lapsedAt) >= lapseGrace {
+		m := s.members[id]
+		if !m.lapsedAt.IsZero() && now.Sub(m.lapsedAt) >= lapseGrace ||
+			!m.unreadableAt.IsZero() && now.Sub(m.unreadableAt) >= unreadableGrace {
 			changes = append(changes, s.remove(now, m))
 		}
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -95,6 +95,28 @@
 	}
 }
 
+// TestUnreadableReplacement guards against losing a server because another writer spoilt its
+// registration, and against keeping one that does not write a readable one again.
+func TestUnreadableReplacement(t *testing.T) {
+	s := NewSet()
+	s.Replace(at(0), 10, []Registration{registration("a", 1, 7, false), registration("b", 2, 7, false)})
+	for _, id := range []string{"a", "b"} {
+		s.Apply(at(time.Second), Registration{ID: id, Revision: 11, Unreadable: "port 99999"})
+	}
+	s.Apply(at(2*time.Second), registration("a", 12, 7, false))
+	if got := acceptingIDs(s); got != "ab" {
+		t.Errorf("accepting %q while registrations are unreadable, want ab", got)
+	}
+	s.Expire(at(time.Second + unreadableGrace))
+	if got := acceptingIDs(s); got != "a" {
+		t.Errorf("accepting %q after the grace time, want a", got)
+	}
+	s.Apply(at(5*time.Second), registration("b", 13, 7, false))
+	if got := acceptingIDs(s); got != "ab" {
+		t.Errorf("accepting %q after both are readable again, want ab", got)
+	}
+}
+
 // TestHash guards against daemons with different sets that compare as equal.
 func TestHash(t *testing.T) {
 	one, two := NewSet(), NewSet()
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -73,6 +73,8 @@
 	adoptedAt time.Time
 	fleet     *fleet.Set
 	suspects  map[string]*suspect
+	// unreadable holds the revisions of the registrations that can't be read.
+	unreadable map[string]int64
 	// registeredDaemons holds the daemons that have an entry in the store.
 	registeredDaemons map[string]Daemon
 	peers             map[string]*peerState
@@ -198,6 +200,7 @@
 		byID[r.ID] = e
 		list = append(list, r)
 	}
+	c.logUnreadable(list)
 	m := message.Listing{Revision: revision}
 	for _, change := range c.fleet.Replace(now, revision, list) {
 		c.serverChanged(now, change)
@@ -214,6 +217,27 @@
 	c.sendListing(m, func(peerState) bool { return true })
 }
 
+// logUnreadable logs the first registration that has become unreadable since the previous
+// listing, and how many there are. One line a listing bounds the volume.
+func (c *control) logUnreadable(list []fleet.Registration) {
+	unreadable := map[string]int64{}
+	var first *fleet.Registration
+	for i := range list {
+		r := &list[i]
+		if r.Unreadable == "" {
+			continue
+		}
+		unreadable[r.ID] = r.Revision
+		if first == nil && c.unreadable[r.ID] != r.Revision {
+			first = r
+		}
+	}
+	c.unreadable = unreadable
+	if first != nil {
+		c.g.Log.Info("registration not readable", "Server", first.ID, "Revision", first.Revision, "Error", first.Unreadable, "Unreadable", len(unreadable))
+	}
+}
+
 // sendListing sends a listing to the peers for which include returns true.
 func (c *control) sendListing(m message.Listing, include func(peerState) bool) {
 	data, err := message.Encode(message.KindListing, m)
--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -108,7 +108,7 @@
 				deleted[suspect] = true
 				continue
 			}
-			record, err := decodeSuspect(wallClock, e.Value)
+			record, err := decodeSuspect(wallClock, suspect, e.Value)
 			if err != nil {
 				g.Log.Info("entry of a suspect not readable", "Key", e.Key, "Error", err.Error())
 				continue
@@ -134,18 +134,28 @@
 	return nil
 }
 
+// maxRecordAge bounds the ages in a suspect's entry. Evidence expires much sooner.
+const maxRecordAge = 24 * time.Hour
+
 // decodeSuspect reads a suspect's entry and converts its ages to the present.
-func decodeSuspect(wallClock time.Time, value []byte) (message.SuspectRecord, error) {
+func decodeSuspect(wallClock time.Time, suspect uint64, value []byte) (message.SuspectRecord, error) {
 	var entry suspectEntry
 	if err := json.Unmarshal(value, &entry); err != nil {
 		return message.SuspectRecord{}, err
 	}
-	// The writer's clock may be ahead.
-	age := max(wallClock.UnixMilli()-entry.WrittenAt, 0)
 	record := entry.Record
+	if record.Suspect != suspect {
+		return message.SuspectRecord{}, errors.Errorf("record of suspect %016x", record.Suspect)
+	}
+	// The writer's clock may be ahead.
+	age := max(wallClock.Sub(time.UnixMilli(entry.WrittenAt)), 0)
 	for i := range record.Crashes {
-		record.Crashes[i].Began += age
-		record.Crashes[i].Ended += age
+		c := &record.Crashes[i]
+		if c.Began < 0 || c.Ended < 0 || max(c.Began, c.Ended) > maxRecordAge.Milliseconds() {
+			return message.SuspectRecord{}, errors.Errorf("crash %d ms ago of a run begun %d ms ago", c.Ended, c.Began)
+		}
+		c.Began += age.Milliseconds()
+		c.Ended += age.Milliseconds()
 	}
 	return record, nil
 }
--- a/internal/gateway/rows.go
+++ b/internal/gateway/rows.go
@@ -113,7 +113,7 @@
 	rows := make([]daemonRow, 0, len(m.Rows))
 	for _, d := range m.Rows {
 		r := daemonRow{
-			daemon: d.Daemon, place: d.Place, start: d.Start, at: now.Add(-time.Duration(d.Age) * time.Millisecond),
+			daemon: d.Daemon, place: d.Place, start: d.Start, at: timeOfAge(now, d.Age),
 			uses: make(map[string]quota.Use, len(d.Used)), demands: d.Demands,
 		}
 		for i, amount := range d.Used[:min(len(d.Used), len(m.Organisations))] {
@@ -138,6 +138,12 @@
 	return rows
 }
 
+// timeOfAge returns the time of a value with an age in milliseconds. The age is limited to the
+// range from 0 to maxRowAge: a value from the future would hide all later ones.
+func timeOfAge(now time.Time, age int64) time.Time {
+	return now.Add(-time.Duration(max(0, min(age, maxRowAge.Milliseconds()))) * time.Millisecond)
+}
+
 // storeRow stores a row and reports whether it is newer than the stored one.
 func (g *Gateway) storeRow(r daemonRow) bool {
 	g.rowsMu.Lock()
@@ -228,7 +234,7 @@
 // handlePlaceLoads applies the loads of other places.
 func (g *Gateway) handlePlaceLoads(now time.Time, list []message.PlaceLoads) {
 	for _, l := range list {
-		at := now.Add(-time.Duration(l.Age) * time.Millisecond)
+		at := timeOfAge(now, l.Age)
 		g.rowsMu.Lock()
 		isNewer := l.Place != g.Place && at.After(g.placeLoads[l.Place].at)
 		if isNewer {
--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"maps"
 	"math/rand/v2"
+	"net/netip"
 	"time"
 
 	"github.com/juju/errors"
@@ -177,6 +178,24 @@
 	Start         int64  `json:"Start"`
 }
 
+// check returns an error if a daemon's entry can't be used: peers connect to its addresses,
+// and callers get them.
+func (e *daemonEntry) check(id string) error {
+	if e.Daemon != id || e.Place == "" {
+		return errors.Errorf("entry names daemon %.50q in place %.50q", e.Daemon, e.Place)
+	}
+	for _, text := range []string{e.CallerAddress, e.PeerAddress} {
+		address, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return errors.Annotate(err, "address")
+		}
+		if address.Port() == 0 || address.Addr().IsUnspecified() {
+			return errors.Errorf("address %s can't be connected to", address)
+		}
+	}
+	return nil
+}
+
 // keepRegistration keeps this daemon's entry in the store.
 func (g *Gateway) keepRegistration(ctx context.Context) error {
 	dep := dependency{g: g, name: "registration"}
@@ -283,8 +302,12 @@
 		return
 	}
 	var r daemonEntry
-	if err := json.Unmarshal(e.Value, &r); err != nil || r.Daemon != id {
-		g.Log.Info("entry of a daemon not readable", "Key", e.Key)
+	err := json.Unmarshal(e.Value, &r)
+	if err == nil {
+		err = r.check(id)
+	}
+	if err != nil {
+		g.Log.Info("entry of a daemon not readable", "Key", e.Key, "Error", err.Error())
 		return
 	}
 	known[id] = Daemon{ID: r.Daemon, Place: r.Place, Region: r.Region, CallerAddress: r.CallerAddress, PeerAddress: r.PeerAddress}
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -198,10 +198,10 @@
 	return news
 }
 
-// ago returns the time that lies a number of milliseconds back, and now for a negative
-// number.
+// ago returns the time that lies a number of milliseconds back. The number is limited to the
+// range from 0 to evidenceExpiry.
 func ago(now time.Time, milliseconds int64) time.Time {
-	return now.Add(-time.Duration(max(milliseconds, 0)) * time.Millisecond)
+	return now.Add(-time.Duration(max(0, min(milliseconds, evidenceExpiry.Milliseconds()))) * time.Millisecond)
 }
 
 func (e *Evidence) recordOf(s Suspect) *record {
