gateway, fleet: heed servers that state in an answer that they are leaving

A server that says so only in its answers, or whose registration arrives late, got new work until the store showed it as leaving, also from daemons cut off from the store.

Change: backend.Response reports it, fleet.Set keeps it for the incarnation whatever the registration says, and daemons pass it on: to their peers, by delegates between places, and to a daemon when it is first heard. The hash of a fleet does not cover it, so that daemons do not read the store again for it. A new incarnation at the same address starts clean.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -84,6 +84,8 @@
 	NotRun bool
 	// Signed is set if the response has the server's signature.
 	Signed bool
+	// Leaving is set if the server stated that it is leaving.
+	Leaving bool
 
 	body io.ReadCloser
 	conn *conn
@@ -196,6 +198,7 @@
 		if head.StatusCode < 200 {
 			continue
 		}
+		r.Leaving = r.Leaving || names.Leaving != "" && head.Header.Get(names.Leaving) == "1"
 		id := head.Header.Get(names.Attempt)
 		if id != "" && id != q.Attempt {
 			// A late response to an earlier request on this connection.
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -50,6 +50,8 @@
 	Signature string
 	// NotRun marks a response to a request that did not run.
 	NotRun string
+	// Leaving is "1" in the responses of a server that is leaving.
+	Leaving string
 }
 
 // Pool manages the connections to all backend servers. Exported fields must be set
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -3,7 +3,7 @@
 // unavailable and may be unreadable. It has no sockets, goroutines or clock.
 //
 // An incarnation of a server that was once seen leaving stays so, whatever an older
-// listing states.
+// listing states. Servers state it in their registrations and in their answers.
 package fleet
 
 import (
@@ -76,6 +76,9 @@
 	revision int64
 	// lapsedAt is when the registration ended, if the server may still be alive.
 	lapsedAt time.Time
+	// leavingByAnswer means that the server stated only in an answer that it is leaving, and
+	// its registration does not show it yet.
+	leavingByAnswer bool
 	// unreadableAt is when the registration was replaced by an unreadable one.
 	unreadableAt time.Time
 }
@@ -83,9 +86,17 @@
 // Accepting reports whether the server may get new work.
 func (m *Member) Accepting() bool { return m.LeavingSince.IsZero() }
 
-type incarnation struct {
-	id    string
-	start int64
+// Incarnation identifies one start of a server.
+type Incarnation struct {
+	ID string
+	// Start is the Incarnation of a Server.
+	Start int64
+}
+
+// leavingRecord is how an incarnation was seen leaving.
+type leavingRecord struct {
+	since    time.Time
+	byAnswer bool
 }
 
 // Change is a change of a member that routing may depend on.
@@ -106,13 +117,13 @@
 // Set holds the members. It is not safe for concurrent use.
 type Set struct {
 	members    map[string]*Member
-	leaving    map[incarnation]time.Time
+	leaving    map[Incarnation]leavingRecord
 	lastOutage time.Time
 }
 
 // NewSet returns an empty set.
 func NewSet() *Set {
-	return &Set{members: map[string]*Member{}, leaving: map[incarnation]time.Time{}}
+	return &Set{members: map[string]*Member{}, leaving: map[Incarnation]leavingRecord{}}
 }
 
 // NoteOutage records that the store did not answer.
@@ -137,9 +148,13 @@
 	before := m.Server
 	m.Server, m.revision, m.UpdatedAt = *r.Server, r.Revision, now
 	m.lapsedAt, m.unreadableAt = time.Time{}, time.Time{}
-	if m.Leaving && m.LeavingSince.IsZero() {
-		s.markLeaving(now, m)
+	switch {
+	case m.Leaving && m.LeavingSince.IsZero():
+		s.markLeaving(now, m, false)
 		return Change{Member: *m, Event: Leaving}, true
+	case m.Leaving && m.leavingByAnswer:
+		m.leavingByAnswer = false
+		return Change{Member: *m, Event: Changed}, true
 	}
 	m.Leaving = !m.LeavingSince.IsZero()
 	before.Warmup, before.Remaining = m.Warmup, m.Remaining
@@ -149,11 +164,12 @@
 func (s *Set) add(now time.Time, old *Member, r Registration) (Change, bool) {
 	m := &Member{Server: *r.Server, revision: r.Revision, UpdatedAt: now}
 	s.members[r.ID] = m
-	if at, ok := s.leaving[incarnation{r.ID, m.Incarnation}]; ok {
-		m.LeavingSince, m.Leaving = at, true
+	if l, ok := s.leaving[Incarnation{r.ID, m.Incarnation}]; ok {
+		m.leavingByAnswer = l.byAnswer && !m.Leaving
+		m.LeavingSince, m.Leaving = l.since, true
 	}
 	if m.Leaving && m.LeavingSince.IsZero() {
-		s.markLeaving(now, m)
+		s.markLeaving(now, m, false)
 	}
 	event := Added
 	if !m.LeavingSince.IsZero() {
@@ -162,12 +178,38 @@
 	return Change{Member: *m, Event: event}, old == nil || m.LeavingSince.IsZero()
 }
 
-func (s *Set) markLeaving(now time.Time, m *Member) {
-	m.LeavingSince, m.Leaving = now, true
+// NoteLeaving records that an incarnation of a server stated in an answer that it is leaving.
+// It returns the resulting change, if any. It has no effect on other incarnations.
+func (s *Set) NoteLeaving(now time.Time, i Incarnation) (Change, bool) {
+	m := s.members[i.ID]
+	switch _, known := s.leaving[i]; {
+	case known:
+		return Change{}, false
+	case m == nil || m.Incarnation != i.Start:
+		s.leaving[i] = leavingRecord{now, true} // It may still register.
+		return Change{}, false
+	}
+	s.markLeaving(now, m, true)
+	return Change{Member: *m, Event: Leaving}, true
+}
+
+// LeavingByAnswer returns the incarnations for NoteLeaving of another Set.
+func (s *Set) LeavingByAnswer() []Incarnation {
+	var list []Incarnation
+	for i, l := range s.leaving {
+		if l.byAnswer {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
+func (s *Set) markLeaving(now time.Time, m *Member, byAnswer bool) {
+	m.LeavingSince, m.Leaving, m.leavingByAnswer = now, true, byAnswer
 	if m.Remaining > 0 {
 		m.EndsAt = now.Add(m.Remaining)
 	}
-	s.leaving[incarnation{m.ID, m.Incarnation}] = now
+	s.leaving[Incarnation{m.ID, m.Incarnation}] = leavingRecord{now, byAnswer}
 }
 
 // endRegistration handles the end of a registration. Shortly after an outage it keeps the
@@ -241,16 +283,16 @@
 			changes = append(changes, s.remove(now, m))
 		}
 	}
-	for k, at := range s.leaving {
-		if now.Sub(at) > leavingMemory {
-			delete(s.leaving, k)
+	for i, l := range s.leaving {
+		if now.Sub(l.since) > leavingMemory {
+			delete(s.leaving, i)
 		}
 	}
 	return changes
 }
 
 // Hash returns a hash of the registered servers. Daemons compare it to see whether they
-// have the same set.
+// have read the same registrations, so that it does not cover what servers stated in answers.
 func (s *Set) Hash() uint64 {
 	sum := uint64(0)
 	for _, m := range s.members {
@@ -260,7 +302,7 @@
 		d := xxhash.New()
 		var state [9]byte
 		binary.LittleEndian.PutUint64(state[:], uint64(m.Incarnation))
-		if m.Leaving {
+		if m.Leaving && !m.leavingByAnswer {
 			state[8] = 1
 		}
 		_, _ = d.Write(state[:])
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -117,6 +117,60 @@
 	}
 }
 
+// TestLeavingByAnswer guards against new work for a server that stated in an answer that it is
+// leaving, and against keeping work from its next incarnation.
+func TestLeavingByAnswer(t *testing.T) {
+	s := NewSet()
+	s.Replace(at(0), 10, []Registration{registration("a", 1, 7, false), registration("b", 2, 7, false)})
+	if c, ok := s.NoteLeaving(at(1), Incarnation{"a", 7}); !ok || c.Event != Leaving {
+		t.Errorf("change %+v, %v", c, ok)
+	}
+	if _, ok := s.NoteLeaving(at(2), Incarnation{"a", 7}); ok {
+		t.Error("the same statement is new again")
+	}
+	s.NoteLeaving(at(2), Incarnation{"b", 6})
+	s.Apply(at(3), registration("a", 11, 7, false))
+	if got := acceptingIDs(s); got != "b" {
+		t.Errorf("accepting %q, want b", got)
+	}
+	s.Apply(at(4), registration("a", 12, 8, false))
+	if got := acceptingIDs(s); got != "ab" {
+		t.Errorf("accepting %q after a new start of a, want ab", got)
+	}
+	// A daemon that has just started may hear of it before it has listed the servers.
+	late := NewSet()
+	for _, i := range s.LeavingByAnswer() {
+		late.NoteLeaving(at(5), i)
+	}
+	late.Replace(at(6), 12, []Registration{registration("a", 1, 7, false), registration("b", 2, 7, false)})
+	if got := acceptingIDs(late); got != "b" {
+		t.Errorf("accepting %q, want b", got)
+	}
+}
+
+// TestHashOfLeavingByAnswer guards against reading the store again because daemons differ in
+// what servers stated in answers, and against missing that the registration states it too.
+func TestHashOfLeavingByAnswer(t *testing.T) {
+	one, two := NewSet(), NewSet()
+	for _, s := range []*Set{one, two} {
+		s.Replace(at(0), 10, []Registration{registration("a", 1, 7, false)})
+	}
+	one.NoteLeaving(at(1), Incarnation{"a", 7})
+	if one.Hash() != two.Hash() {
+		t.Error("equal registrations have different hashes")
+	}
+	if c, ok := one.Apply(at(2), registration("a", 11, 7, true)); !ok || c.Event != Changed {
+		t.Errorf("change %+v, %v", c, ok)
+	}
+	if one.Hash() == two.Hash() {
+		t.Error("a registration as leaving does not change the hash")
+	}
+	two.Apply(at(2), registration("a", 11, 7, true))
+	if one.Hash() != two.Hash() {
+		t.Error("equal registrations have different hashes")
+	}
+}
+
 // TestHash guards against daemons with different sets that compare as equal.
 func TestHash(t *testing.T) {
 	one, two := NewSet(), NewSet()
--- a/internal/gateway/answers_test.go
+++ b/internal/gateway/answers_test.go
@@ -3,7 +3,11 @@
 import (
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
+
+	"apricotbridge/internal/fleet"
 )
 
 // refuse is a handler that states that the server did not run the request.
@@ -42,3 +46,65 @@
 		t.Errorf("%d attempts on %d connections, want 2 on 2", attempts, len(remoteAddresses))
 	}
 }
+
+// accepting reports whether a daemon may send new work to a server.
+func (gw *testGateway) accepting(server string) bool {
+	m, ok := gw.view.Load().Members[server]
+	return ok && m.Accepting()
+}
+
+// TestServerThatStatesItIsLeaving guards against new work for a server that has stated only in
+// its answers that it is leaving, by any daemon, and against keeping it from the server's next
+// incarnation.
+func TestServerThatStatesItIsLeaving(t *testing.T) {
+	env := newTestEnv(t)
+	var leaving atomic.Bool
+	s := env.addServer("leaving", "plain", func(w http.ResponseWriter, r *http.Request) {
+		if leaving.Load() {
+			w.Header().Set("X-Leaving", "1")
+		}
+		signedAnswer("from the leaving server")(w, r)
+	})
+	first, second := env.startReady("g1"), env.startReady("g2")
+	waitFor(t, "the daemons are linked", func() bool { return len(first.hub.Peers()) == 1 && len(second.hub.Peers()) == 1 })
+	leaving.Store(true)
+	env.addServer("staying", "plain", signedAnswer("ok"))
+	waitFor(t, "the daemon that got the answer knows", func() bool {
+		if got := first.send(t.Context(), http.MethodPost, "/safe/x"); got.status != http.StatusOK {
+			t.Errorf("got %+v", got)
+		}
+		return !first.accepting("leaving")
+	})
+	waitFor(t, "the peer knows", func() bool { return !second.accepting("leaving") })
+	third := env.startReady("g3")
+	waitFor(t, "a daemon that starts later knows", func() bool { return !third.accepting("leaving") })
+	before := s.requests()
+	for _, gw := range []*testGateway{first, second, third} {
+		waitFor(t, "the other server is known", func() bool { return gw.accepting("staying") })
+		for range 10 {
+			if got := gw.send(t.Context(), http.MethodPost, "/safe/x"); got.status != http.StatusOK {
+				t.Errorf("got %+v", got)
+			}
+		}
+	}
+	if after := s.requests(); after != before {
+		t.Errorf("%d requests to the leaving server after it was known", after-before)
+	}
+	leaving.Store(false)
+	env.store.set("servers/leaving", fleet.Server{ID: "leaving", Incarnation: 2, Address: s.Listener.Addr().String(), Service: "plain", Place: "a", Slots: 8})
+	waitFor(t, "the next incarnation is used", func() bool {
+		return first.accepting("leaving") && second.accepting("leaving") && third.accepting("leaving")
+	})
+}
+
+// TestLeavingPassesBetweenPlaces guards against daemons of other places that send new work to a
+// server which stated in an answer that it is leaving.
+func TestLeavingPassesBetweenPlaces(t *testing.T) {
+	env := newTestEnv(t)
+	env.addServer("s1", "plain", signedAnswer("ok"))
+	gateways := startInPlaces(env)
+	gateways["b-2"].post(func(c *control) { c.noteLeaving(time.Now(), "", []fleet.Incarnation{{ID: "s1", Start: 1}}) })
+	for id, gw := range gateways {
+		waitFor(t, id+" knows", func() bool { return !gw.accepting("s1") })
+	}
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -11,6 +11,7 @@
 	"apricotbridge/internal/admission"
 	"apricotbridge/internal/backend"
 	"apricotbridge/internal/dispatch"
+	"apricotbridge/internal/fleet"
 	"apricotbridge/internal/logs"
 	"apricotbridge/internal/route"
 	"apricotbridge/internal/routing"
@@ -228,6 +229,11 @@
 		return s.handleNoAnswer(ctx, server, err)
 	}
 	defer res.Close()
+	if res.Leaving {
+		g.post(func(c *control) {
+			c.noteLeaving(time.Now(), "", []fleet.Incarnation{{ID: server.ID, Start: server.Incarnation}})
+		})
+	}
 	return s.handleAnswer(ctx, cancel, server, res)
 }
 
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -334,6 +334,7 @@
 		c.changed = true
 		c.g.Log.Info("peer heard", "Peer", from.Daemon, "PeerPlace", from.Place)
 		c.g.sendRefusedSuspects(now, from.Daemon)
+		c.sendLeaving(c.fleet.LeavingByAnswer(), func(p message.Hello) bool { return p.Daemon == from.Daemon })
 	}
 	if p.draining != s.Draining {
 		p.draining, c.changed = s.Draining, true
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -66,6 +66,13 @@
 			return
 		}
 		g.mergeEvidence(now, from.Place, m.Records)
+	case message.KindLeaving:
+		m, err := message.Decode[message.Leaving](e)
+		if err != nil {
+			g.Log.Info("leaving servers not readable", "Peer", from.Daemon, "Error", err.Error())
+			return
+		}
+		g.post(func(c *control) { c.noteLeaving(now, from.Place, decodeLeaving(m)) })
 	case message.KindListing:
 		m, err := message.Decode[message.Listing](e)
 		if err != nil {
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -292,6 +292,7 @@
 const KindHandover Kind = "Handover"
 const KindHandoverAccepted Kind = "HandoverAccepted"
 const KindHello Kind = "Hello"
+const KindLeaving Kind = "Leaving"
 const KindListing Kind = "Listing"
 const KindMembers Kind = "Members"
 const KindQuarantine Kind = "Quarantine"
@@ -299,6 +300,22 @@
 const KindStatus Kind = "Status"
 const KindUsage Kind = "Usage"
 
+// Leaving lists servers that stated in an answer that they are leaving, which the
+// store need not show yet.
+type Leaving struct {
+	// Servers that are leaving.
+	Servers []LeavingServer `json:"Servers"`
+}
+
+// LeavingServer is one incarnation of a server that is leaving.
+type LeavingServer struct {
+	// Start time of the server in Unix milliseconds.
+	Incarnation int64 `json:"Incarnation"`
+
+	// Id of the server.
+	Server string `json:"Server"`
+}
+
 // Listing passes the result of reading the store to peers, so that they need not
 // read it.
 type Listing struct {
