gateway, dispatch, routing: leave servers alone that ask for it with Retry-After

Cause: Retry-After in a server's answer with status 503 was not heeded. A server that wanted no requests of this daemon got as many as its load let expect.

Change: such a server is out of the choice of this daemon until the time that it stated, for new requests, repeats and resumed streams. Where all servers of a service asked for it, requests that none of them takes in time are refused at once with the time until the first one does, spread over a second; those that already wait too. Other daemons go on. The Retry-After of refusals is no longer cut to 5 s, which was not true of longer times.

Tests: TestOverloadedServerIsLeftAlone failed before (a caller was told to return after 0.3 s of a pause of 2.5 s, both servers got further requests), TestPausedServersGetNoRequests, TestHeadersOfLeavingAndOverloadedServers.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -23,6 +23,8 @@
 	maxSkippedBodyBytes = 64 << 10
 	// maxIdleTimeoutSeconds limits the idle timeout that a server states.
 	maxIdleTimeoutSeconds = 3600
+	// maxRetryAfter limits how long a server may ask for no requests.
+	maxRetryAfter = 5 * time.Minute
 	// maxHeadBytes limits the head of a response. It is the limit for the heads of
 	// requests.
 	maxHeadBytes = 64 << 10
@@ -86,6 +88,9 @@
 	Signed bool
 	// Leaving is set if the server stated that it is leaving.
 	Leaving bool
+	// RetryAfter is how long an overloaded server (status 503) wants no requests of this
+	// client; 0 means not stated.
+	RetryAfter time.Duration
 
 	body io.ReadCloser
 	conn *conn
@@ -207,6 +212,9 @@
 			}
 			continue
 		}
+		if head.StatusCode == http.StatusServiceUnavailable {
+			r.RetryAfter = retryAfter(head.Header)
+		}
 		r.Status, r.Header, r.body, r.ContentLength = head.StatusCode, head.Header, head.Body, head.ContentLength
 		r.CloseDelimited = head.ContentLength < 0 && len(head.TransferEncoding) == 0
 		r.Signed = head.Header.Get(names.Signature) != ""
@@ -223,6 +231,17 @@
 	return errors.New("responses to other requests only")
 }
 
+// retryAfter returns the time that the server asks the client to wait, limited to
+// maxRetryAfter. A date (RFC 9110, section 10.2.3) counts as not stated, since servers send
+// seconds.
+func retryAfter(h http.Header) time.Duration {
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(h.Get("Retry-After")), 64)
+	if err != nil || !(seconds > 0) { // Also for NaN.
+		return 0
+	}
+	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
+}
+
 // idleExpiry returns the time from which the server may close the idle connection.
 func idleExpiry(h http.Header) time.Time {
 	timeout := defaultIdleTimeout
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -155,6 +155,11 @@
 		d.counts.Refused++
 		return d.noServerProblem(w.Request.Service)
 	}
+	if p := d.pauseProblem(now, w); p != nil && decision.Queued {
+		d.Queue.Cancel(now, w.Request.ID)
+		d.counts.Refused++
+		return p
+	}
 	if !decision.Queued {
 		d.counts.Refused++
 		p := problem.New(decision.Kind, "%s (%v)", decision.Reason, decision.Pool)
@@ -286,6 +291,10 @@
 		d.endWork(now, w, used)
 		return p
 	}
+	if p := d.pauseProblem(now, w); p != nil {
+		d.endWork(now, w, used)
+		return w.refusalProblem(p)
+	}
 	// A retry puts no load on a server that was not reached, so it costs no budget.
 	if ending != Stopped && ending != NotSent && !w.Durable && !d.retryBudget.TrySpend() {
 		d.endWork(now, w, used)
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -193,3 +193,66 @@
 		t.Errorf("%d crashes, at most 3 may be; %d of %d copies were refused", crashes, refused, copies)
 	}
 }
+
+// TestPausedServersGetNoRequests guards against sending requests to a server that asked for a
+// pause, against letting requests wait that no server takes in time, and against a Retry-After
+// that ends before the pause.
+func TestPausedServersGetNoRequests(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	d := newDispatcher()
+	d.SetTable(now, testTable(1, 1))
+	submit := func(at time.Time, id string, wait time.Duration) (*Work, *problem.Problem) {
+		w := testWork(id)
+		w.Request.Arrived, w.Request.Deadline = at, at.Add(wait)
+		return w, d.Submit(at, w)
+	}
+	a, _ := d.table.Server("a")
+	b, _ := d.table.Server("b")
+	d.PauseServer(now, now.Add(2*time.Second), a)
+	for _, id := range []string{"1", "2", "3", "4"} { // As many as b has slots.
+		w, p := submit(now, id, time.Second)
+		if p != nil {
+			t.Fatal(p)
+		}
+		if g := <-w.Grants(); g.Server.ID != "b" {
+			t.Errorf("request %s: granted server %q, problem %v", id, g.Server.ID, g.Problem)
+		}
+	}
+	waiting, p := submit(now, "waiting", time.Second)
+	patient, p2 := submit(now, "patient", 5*time.Second)
+	if p != nil || p2 != nil {
+		t.Fatal(p, p2)
+	}
+	d.PauseServer(now, now.Add(3*time.Second), b)
+	select {
+	case g := <-waiting.Grants():
+		checkPauseProblem(t, g.Problem, 2*time.Second)
+	default:
+		t.Error("a request waits that no server takes in time")
+	}
+	_, p = submit(now, "late", time.Second)
+	checkPauseProblem(t, p, 2*time.Second)
+	checkPauseProblem(t, d.Retry(now, "1", NotStarted), 2*time.Second)
+	if p := d.Retry(now, "2", Broken); p == nil || problem.Of(p.Kind).Ran == problem.NotRun {
+		t.Errorf("request that may have run: problem %v", p)
+	}
+	d.Tick(now.Add(time.Second))
+	if n := len(patient.Grants()); n != 0 {
+		t.Error("a request is granted during the pause")
+	}
+	d.Tick(now.Add(2 * time.Second))
+	if g := <-patient.Grants(); g.Server.ID != "a" {
+		t.Errorf("after the pause: granted server %q, problem %v", g.Server.ID, g.Problem)
+	}
+	d.SetTable(now.Add(2*time.Second), testTable(1, 2))
+	if w, p := submit(now.Add(2*time.Second), "next incarnation", time.Second); p != nil || len(w.Grants()) != 1 {
+		t.Errorf("problem %v", p)
+	}
+}
+
+func checkPauseProblem(t *testing.T, p *problem.Problem, least time.Duration) {
+	t.Helper()
+	if p == nil || p.Kind != problem.NoCapacity || p.RetryAfter < least || p.RetryAfter > least+noServerRetryAfter {
+		t.Errorf("problem %+v, want %v with Retry-After of %v to %v", p, problem.NoCapacity, least, least+noServerRetryAfter)
+	}
+}
--- a/internal/gateway/answers_test.go
+++ b/internal/gateway/answers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -108,3 +109,45 @@
 		waitFor(t, id+" knows", func() bool { return !gw.accepting("s1") })
 	}
 }
+
+// TestOverloadedServerIsLeftAlone guards against sending requests to a server that turned one
+// away with status 503 and a Retry-After, and against letting callers wait when all servers did.
+func TestOverloadedServerIsLeftAlone(t *testing.T) {
+	env := newTestEnv(t)
+	var all atomic.Bool
+	overloaded := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Retry-After", "2.5")
+		refuse(w, r)
+	}
+	first := env.addServer("first", "plain", overloaded)
+	second := env.addServer("second", "plain", func(w http.ResponseWriter, r *http.Request) {
+		if all.Load() {
+			overloaded(w, r)
+			return
+		}
+		signedAnswer("ok")(w, r)
+	})
+	gw := env.startReady("g1")
+	for range 20 {
+		if got := gw.send(t.Context(), http.MethodPost, "/unsafe/x"); got.status != http.StatusOK {
+			t.Errorf("got %+v", got)
+		}
+	}
+	if n := first.requests(); n > 1 {
+		t.Errorf("%d requests to the overloaded server, want at most 1", n)
+	}
+	all.Store(true)
+	gw.send(t.Context(), http.MethodPost, "/unsafe/x")
+	before := second.requests()
+	started := time.Now()
+	got := gw.send(t.Context(), http.MethodPost, "/unsafe/x")
+	if after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64); got.status != http.StatusServiceUnavailable || err != nil || after < 1 || after > 4 {
+		t.Errorf("got %+v, want 503 with the time until the first server takes requests", got)
+	}
+	if took := time.Since(started); took > 200*time.Millisecond {
+		t.Errorf("refused after %v", took)
+	}
+	if after := second.requests(); after != before {
+		t.Errorf("%d requests to servers during their pauses", after-before)
+	}
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -234,6 +234,11 @@
 			c.noteLeaving(time.Now(), "", []fleet.Incarnation{{ID: server.ID, Start: server.Incarnation}})
 		})
 	}
+	if res.RetryAfter > 0 {
+		now := time.Now()
+		g.dispatcher.PauseServer(now, now.Add(res.RetryAfter), server)
+		g.Log.Info("server wants no requests", logs.RequestID, s.call.ID, "Server", server.ID, "For", res.RetryAfter)
+	}
 	return s.handleAnswer(ctx, cancel, server, res)
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -308,9 +308,8 @@
 	return s.call.Timeout > 0 && s.call.Timeout < s.route.Timeout-s.route.TargetLatency/2
 }
 
-// maxRetryAfter bounds the Retry-After of an answer. Callers give up if it exceeds a
-// third of their remaining time.
-const maxRetryAfter = 5 * time.Second
+// maxRetryAfter bounds the Retry-After of an answer. Callers whose time ends before give up.
+const maxRetryAfter = 5 * time.Minute
 
 // refuse answers a request with a problem.
 func (s *session) refuse(p *problem.Problem) {
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -77,6 +77,8 @@
 	Suspect      int
 	Excluded     int
 	Unhealthy    int
+	// Paused counts servers that asked for a pause.
+	Paused int
 	// Reserved counts servers that run a call with Alone.
 	Reserved int
 	// Busy counts servers that run requests and were rejected for a call with Alone.
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -65,6 +65,8 @@
 	// reserved is set while the server runs a call with Alone, and excludes it for others.
 	reserved bool
 	health   health
+	// pausedUntil is when the server takes calls of this daemon again.
+	pausedUntil time.Time
 	// cacheAccuracy is the share of the tokens believed cached that the engine confirms.
 	cacheAccuracy float64
 	// cacheTokens is the size of the prefix cache; tokensEntered counts the tokens added
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -58,6 +58,8 @@
 		rejected.NotAccepting++
 	case s.Suspect:
 		rejected.Suspect++
+	case sc.now.Before(st.pausedUntil):
+		rejected.Paused++
 	case st.reserved:
 		rejected.Reserved++
 	case len(sc.call.Excluded) > 0 && slices.Contains(sc.call.Excluded, s.ID):
