quarantine: refuse a part early only if it was at half of the crashes

A quarter of the crashes (minPartShare) sufficed to refuse it after five; by chance that happens in one of 100 simulations with 400 parts.

Change: the share is a half; below it, ten crashes are needed as before.

--- a/internal/quarantine/refusal.go
+++ b/internal/quarantine/refusal.go
@@ -18,9 +18,10 @@
 	minPartSequence = 4
 	// maxUnrelatedPartCrashes replaces maxPartCrashes if the part was at less than
 	// minPartShare of the crashes between its first and its last, so that most servers end for
-	// other reasons.
+	// other reasons. At a quarter of the crashes, one of 400 parts has maxPartCrashes by chance
+	// in one of a hundred simulations of crashes without a cause in common.
 	maxUnrelatedPartCrashes = 10
-	minPartShare            = 0.25
+	minPartShare            = 0.5
 	// crashMemory is how long a crash is remembered to compute that share.
 	crashMemory = time.Minute
 	// minRefusedPartCrashes is the number of crashes, without those that other parts explain,
