gateway, quarantine: send evidence again where daemons refuse different suspects

Cause: evidence was sent once. A message lost with its link, such as the second of two links between the same daemons that is closed, left daemons that ran what all others refused. Likewise one that cleared a suspect: refusals did not end everywhere.

Change: the status has a hash of what the sender refuses. A daemon with another hash sends what it refuses, at most once a second to a peer. A daemon that gets a run which it knows to be cleared sends its record back.

Test: TestLostEvidenceIsSentAgain failed before (what cleared the suspect at one daemon did not reach another within 10 s; the evidence itself reached all by its record in the store).

--- a/internal/dispatch/suspicion.go
+++ b/internal/dispatch/suspicion.go
@@ -92,3 +92,10 @@
 	defer d.mu.Unlock()
 	return d.Evidence.Records(now, d.Evidence.Refused(now))
 }
+
+// RefusedHash returns a hash of the suspects that are refused, or 0 if there are none.
+func (d *Dispatcher) RefusedHash(now time.Time) uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.Evidence.RefusedHash(now)
+}
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -30,6 +30,9 @@
 	// configurationResendDelay is how long after this daemon has adopted a configuration
 	// it sends it to peers whose status still shows an older one.
 	configurationResendDelay = 500 * time.Millisecond
+	// refusedResendDelay is the least time between two messages to a peer with all suspects
+	// that this daemon refuses. In between, the news of changes usually arrives.
+	refusedResendDelay = time.Second
 	// prefillTokensPerSecond is the assumed prefill rate of a server. Servers do not
 	// state it; the platform's specification gives 51.1 tokens a millisecond.
 	prefillTokensPerSecond = 50_000
@@ -95,6 +98,8 @@
 	hello      message.Hello
 	lastStatus time.Time
 	draining   bool
+	// refusedSent is when the peer was last sent what this daemon refuses.
+	refusedSent time.Time
 }
 
 func (g *Gateway) runControl(ctx context.Context) error {
@@ -333,7 +338,6 @@
 		c.peers[from.Daemon] = p
 		c.changed = true
 		c.g.Log.Info("peer heard", "Peer", from.Daemon, "PeerPlace", from.Place)
-		c.g.sendRefusedSuspects(now, from.Daemon)
 		c.sendLeaving(c.fleet.LeavingByAnswer(), func(p message.Hello) bool { return p.Daemon == from.Daemon })
 	}
 	if p.draining != s.Draining {
@@ -341,6 +345,10 @@
 		c.g.Log.Info("peer draining", "Peer", from.Daemon, "Draining", s.Draining)
 	}
 	p.hello, p.lastStatus = from, now
+	if now.Sub(p.refusedSent) > refusedResendDelay && c.g.dispatcher.RefusedHash(now) != s.Refused {
+		p.refusedSent = now
+		c.g.sendRefusedSuspects(now, from.Daemon)
+	}
 	if c.index != nil && s.Revision < c.index.Version && now.Sub(c.adoptedAt) > configurationResendDelay {
 		c.sendConfiguration([]string{from.Daemon})
 	}
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -369,6 +369,31 @@
 	}
 }
 
+// TestLostEvidenceIsSentAgain guards against daemons that differ for good in what they refuse,
+// because the message with the evidence, or with what cleared it, was lost.
+func TestLostEvidenceIsSentAgain(t *testing.T) {
+	env := newTestEnv(t)
+	gateways := env.startLinked([]string{"a"}, 1)
+	record := message.SuspectRecord{Suspect: 7}
+	for i := range uint64(3) {
+		age := int64(1000 - 100*i) //nolint:gosec // Small.
+		record.Crashes = append(record.Crashes, message.CrashedRun{Server: i, Began: age, Ended: age - 50, Confirmed: true})
+	}
+	refused := func(gw *testGateway) int { return len(gw.dispatcher.RefusedSuspects(time.Now())) }
+	// The dispatcher alone does not announce what was merged.
+	gateways[0].dispatcher.MergeEvidence(time.Now(), []message.SuspectRecord{record})
+	for _, gw := range gateways {
+		waitFor(t, gw.Daemon+" refuses the suspect", func() bool { return refused(gw) == 1 })
+	}
+	for i := range record.Crashes {
+		record.Crashes[i].Cleared = true
+	}
+	gateways[1].dispatcher.MergeEvidence(time.Now(), []message.SuspectRecord{record})
+	for _, gw := range gateways {
+		waitFor(t, gw.Daemon+" no longer refuses it", func() bool { return refused(gw) == 0 })
+	}
+}
+
 // TestRecordOfClearedSuspectIsDeleted guards against a suspect that later daemons refuse although
 // it was cleared, and against deleting the record of one that was not.
 func TestRecordOfClearedSuspectIsDeleted(t *testing.T) {
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -28,6 +28,7 @@
 	if c := g.view.Load().Configuration(); c != nil {
 		s.Revision = c.Version
 	}
+	s.Refused = g.dispatcher.RefusedHash(now)
 	if scope == farPeers {
 		return s
 	}
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -472,6 +472,9 @@
 	// separate messages.
 	Own *Rows `json:"Own,omitempty,omitzero"`
 
+	// Hash of the suspects that the sender refuses; 0 means none.
+	Refused uint64 `json:"Refused,omitempty,omitzero"`
+
 	// Configuration version in force.
 	Revision int64 `json:"Revision"`
 
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -178,6 +178,25 @@
 	return list
 }
 
+// RefusedHash returns a hash of the suspects that are refused, or 0 if there are none. Daemons
+// with different hashes send each other what they refuse, because single messages get lost.
+func (e *Evidence) RefusedHash(now time.Time) uint64 {
+	sum := uint64(0)
+	for f := range e.records {
+		if e.refused(now, f) {
+			sum += mixFingerprint(f)
+		}
+	}
+	return sum
+}
+
+// mixFingerprint spreads a fingerprint over all bits, so that sums of them differ.
+func mixFingerprint(f Fingerprint) uint64 {
+	var number [8]byte
+	binary.LittleEndian.PutUint64(number[:], uint64(f))
+	return xxhash.Sum64(number[:])
+}
+
 // Merge merges the records of a peer and returns the suspects whose evidence it changed.
 func (e *Evidence) Merge(now time.Time, records []message.SuspectRecord) []Fingerprint {
 	var news []Fingerprint
@@ -186,8 +205,13 @@
 		changed := false
 		for _, c := range m.Crashes {
 			run := Run{Server: c.Server, Began: ago(now, c.Began), Ended: ago(now, c.Ended), Confirmed: c.Confirmed, Cleared: c.Cleared}
-			if now.Sub(run.Ended) < evidenceExpiry && e.add(s, run) {
+			if now.Sub(run.Ended) >= evidenceExpiry {
+				continue
+			}
+			if e.add(s, run) {
 				changed = true
+			} else if !run.Cleared && e.records[s.Fingerprint].cleared(run.Server) {
+				e.changed[s.Fingerprint] = true // The peer does not know that it was cleared.
 			}
 		}
 		if changed {
@@ -298,6 +322,11 @@
 	return true
 }
 
+// cleared reports whether the run at a server is cleared.
+func (r *record) cleared(server uint64) bool {
+	return slices.ContainsFunc(r.runs, func(run Run) bool { return run.Server == server && run.Cleared })
+}
+
 // hasOpenRuns reports whether a run is not cleared.
 func (r *record) hasOpenRuns() bool {
 	return slices.ContainsFunc(r.runs, func(run Run) bool { return !run.Cleared })
