gateway, platform: serve after a start with what the peers know

Cause: after a loss of all daemons every one read the configuration (1,545 routes) and the servers' entries for itself. In the region without the store the link was full, each read was cut off at 1.5 s and began again, and a daemon that had the configuration from a peer still refused everything, because only its own read gave it the servers. The reason it stated, that no configuration was known, was not true.

Change: daemons tell in their status whether they have the servers, greet a peer when its link opens, and send it the configuration and a complete listing if it lacks them: the delegates of its region, or two daemons where all are linked, after a second everyone. After its start a daemon waits for that: the first of its region not at all, the others up to 1.5 s. What a peer knows is as recent as what it serves with itself, so that keys, quotas and leaving servers are bound as before.

Tests: TestPeersSupplyDaemonThatCannotReadTheStore failed before (not ready within 10 s), TestStartOfAllReadsConfigurationOnce (8 reads by 8 daemons), TestMissingKnowledge, TestSlowResponseOfTheStore.

--- a/internal/gateway/answers_test.go
+++ b/internal/gateway/answers_test.go
@@ -70,6 +70,7 @@
 	waitFor(t, "the daemons are linked", func() bool { return len(first.hub.Peers()) == 1 && len(second.hub.Peers()) == 1 })
 	leaving.Store(true)
 	env.addServer("staying", "plain", signedAnswer("ok"))
+	waitFor(t, "the other server is known", func() bool { return first.accepting("staying") })
 	waitFor(t, "the daemon that got the answer knows", func() bool {
 		if got := first.send(t.Context(), http.MethodPost, "/safe/x"); got.status != http.StatusOK {
 			t.Errorf("got %+v", got)
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -54,6 +54,8 @@
 	index   *index
 	Members map[string]fleet.Member
 	Daemons []Daemon
+	// daemonsListed means that the list of registered daemons was read.
+	daemonsListed bool
 	// ByPlace, Delegate and Delegates are copied from the topology of peer links.
 	ByPlace, Delegate bool
 	Delegates         map[string]bool
@@ -82,8 +84,12 @@
 	registeredDaemons map[string]Daemon
 	peers             map[string]*peerState
 	topology          topology
-	// serversListed means that the store's list of servers was read at least once.
+	// serversListed means that the store's list of servers was read at least once, by this
+	// daemon or by a peer that sent it. entries holds the entries as of listRevision, by key.
 	serversListed bool
+	entries       map[string]message.StoreEntry
+	listRevision  int64
+	daemonsListed bool
 	changed       bool
 }
 
@@ -98,6 +104,11 @@
 	hello      message.Hello
 	lastStatus time.Time
 	draining   bool
+	// heardAt is when the first status arrived, and suppliedAt when the peer was last sent what
+	// it lacked.
+	heardAt, suppliedAt time.Time
+	// revision is the version of the configuration in the last status.
+	revision int64
 	// refusedSent is when the peer was last sent what this daemon refuses.
 	refusedSent time.Time
 }
@@ -105,7 +116,7 @@
 func (g *Gateway) runControl(ctx context.Context) error {
 	c := &control{
 		g: g, fleet: fleet.NewSet(), suspects: map[string]*suspect{},
-		registeredDaemons: map[string]Daemon{}, peers: map[string]*peerState{},
+		registeredDaemons: map[string]Daemon{}, peers: map[string]*peerState{}, entries: map[string]message.StoreEntry{},
 	}
 	ticker := time.NewTicker(expireInterval)
 	defer ticker.Stop()
@@ -164,6 +175,8 @@
 	from := c.peers[source]
 	for id, p := range c.peers {
 		switch {
+		case p.revision >= c.index.Version:
+			continue // It has it from another daemon.
 		case from == nil:
 			// Read from the store: send it to all peers.
 		case !c.topology.ByPlace || !c.topology.Delegate, p.hello.Place == from.hello.Place:
@@ -195,15 +208,19 @@
 // applyListing applies a complete list of server entries from the store and sends the
 // changes to all peers.
 func (c *control) applyListing(now time.Time, revision int64, entries []keyvalue.Entry) {
-	if !c.serversListed {
+	first := !c.serversListed
+	if first {
 		c.serversListed, c.changed = true, true
 	}
 	byID := make(map[string]keyvalue.Entry, len(entries))
 	list := make([]fleet.Registration, 0, len(entries))
+	clear(c.entries)
+	c.listRevision = revision
 	for _, e := range entries {
 		r := c.g.Decoder.Registration(e)
 		byID[r.ID] = e
 		list = append(list, r)
+		c.entries[e.Key] = storeEntry(e)
 	}
 	c.logUnreadable(list)
 	m := message.Listing{Revision: revision}
@@ -213,7 +230,10 @@
 		if !ok {
 			e = keyvalue.Entry{Key: c.g.Keys.Servers + change.Member.ID, Revision: revision, Deleted: true}
 		}
-		m.Changes = append(m.Changes, message.StoreEntry{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted})
+		m.Changes = append(m.Changes, storeEntry(e))
+	}
+	if first {
+		m.Changes = nil // Peers without a list are sent one by supply.
 	}
 	m.Hash = c.fleet.Hash()
 	if c.index != nil {
@@ -262,15 +282,21 @@
 
 // applyPeerListing applies the server changes that a peer read from the store. If this
 // daemon then has the same state as the peer, it need not read the store itself. A
-// delegate forwards listings of other places within its own place.
+// delegate forwards listings of other places within its own place. A complete listing gives
+// a daemon its first list; if it has one, the entries are applied like changes.
 func (c *control) applyPeerListing(now time.Time, from message.Hello, m message.Listing) {
+	if m.Complete && !c.serversListed {
+		c.g.Log.Info("servers listed", "Source", from.Daemon, "Revision", m.Revision, "Servers", len(m.Changes))
+		c.serversListed, c.changed, c.listRevision = true, true, m.Revision
+	}
+	c.keepEntries(m.Changes)
 	for _, e := range m.Changes {
 		r := c.g.Decoder.Registration(keyvalue.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted})
 		if change, ok := c.fleet.Apply(now, r); ok {
 			c.serverChanged(now, change)
 		}
 	}
-	if c.topology.ByPlace && c.topology.Delegate && from.Place != c.g.Place {
+	if c.topology.ByPlace && c.topology.Delegate && from.Place != c.g.Place && !m.Complete {
 		c.sendListing(m, func(p peerState) bool { return p.hello.Place == c.g.Place })
 	}
 	if c.serversListed && c.index != nil && c.index.Version >= m.Version && c.fleet.Hash() == m.Hash {
@@ -309,7 +335,7 @@
 
 // setDaemons applies the list of registered daemons.
 func (c *control) setDaemons(now time.Time, list map[string]Daemon) {
-	c.registeredDaemons = list
+	c.registeredDaemons, c.daemonsListed = list, true
 	c.changed = true
 	c.topology = planTopology(Daemon{ID: c.g.Daemon, Place: c.g.Place}, slices.Collect(maps.Values(list)), cmp.Or(c.g.MeshMax, defaultMeshMax))
 	c.g.hub.KeepLinks(c.topology.Targets)
@@ -334,7 +360,7 @@
 func (c *control) handleStatus(now time.Time, from message.Hello, s message.Status) {
 	p := c.peers[from.Daemon]
 	if p == nil {
-		p = &peerState{}
+		p = &peerState{heardAt: now}
 		c.peers[from.Daemon] = p
 		c.changed = true
 		c.g.Log.Info("peer heard", "Peer", from.Daemon, "PeerPlace", from.Place)
@@ -344,14 +370,12 @@
 		p.draining, c.changed = s.Draining, true
 		c.g.Log.Info("peer draining", "Peer", from.Daemon, "Draining", s.Draining)
 	}
-	p.hello, p.lastStatus = from, now
+	p.hello, p.lastStatus, p.revision = from, now, s.Revision
 	if now.Sub(p.refusedSent) > refusedResendDelay && c.g.dispatcher.RefusedHash(now) != s.Refused {
 		p.refusedSent = now
 		c.g.sendRefusedSuspects(now, from.Daemon)
 	}
-	if c.index != nil && s.Revision < c.index.Version && now.Sub(c.adoptedAt) > configurationResendDelay {
-		c.sendConfiguration([]string{from.Daemon})
-	}
+	c.supply(now, p, s)
 	c.g.notePeerDuty(now, s.Duty)
 }
 
@@ -399,7 +423,7 @@
 		v.Members = nil
 	}
 	v.table = routing.NewTable(servers, c.regionLinks())
-	v.Daemons = c.daemonList()
+	v.Daemons, v.daemonsListed = c.daemonList(), c.daemonsListed
 	v.ByPlace, v.Delegate, v.Delegates = c.topology.ByPlace, c.topology.Delegate, c.topology.Delegates
 	c.g.view.Store(v)
 	c.g.dispatcher.SetTable(now, v.table)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -198,6 +198,7 @@
 		},
 		Listener: g.PeerListener, OnMessage: g.handleMessage, Log: g.Log.WithName("peer"), Metrics: g.Metrics,
 		MaxBackoff: maxPeerBackoff,
+		OnPeerUp:   g.greet,
 		OnPeerDown: func(p message.Hello) { g.post(func(c *control) { c.peerDown(p) }) },
 		OnUnreachable: func(t peer.Target, err error) {
 			// The connection was refused: the machine is up, but the process has ended.
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -40,7 +40,9 @@
 	// watchesSilent makes Changes return nothing.
 	watchesSilent bool
 	reads         int
-	changed       chan struct{}
+	// configurationReads counts the calls of Get.
+	configurationReads int
+	changed            chan struct{}
 }
 
 func newStore() *store {
@@ -86,6 +88,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
+	s.configurationReads++
 	if s.unavailable {
 		return keyvalue.Entry{}, keyvalue.ErrUnavailable
 	}
@@ -236,6 +239,8 @@
 	configuration Configuration
 	// reporter is the Reporter of gateways that start later; nil means none.
 	reporter Reporter
+	// gatewayStore replaces store for gateways that start later, if it is not nil.
+	gatewayStore Store
 }
 
 // discardReports is a Reporter that accepts every report.
@@ -266,6 +271,13 @@
 
 func (env *testEnv) configure() { env.store.set("configuration", env.configuration) }
 
+// document returns the configuration as it stands in the store.
+func (env *testEnv) document() []byte {
+	env.store.mu.Lock()
+	defer env.store.mu.Unlock()
+	return env.store.entries["configuration"].Value
+}
+
 // backendServer is a backend server with a handler for each test.
 type backendServer struct {
 	id string
@@ -329,7 +341,17 @@
 // startIn starts a gateway in a place.
 func (env *testEnv) startIn(id, place string, meshMax int) *testGateway {
 	env.t.Helper()
-	callers, peers := listen(env.t), listen(env.t)
+	return env.startAt(id, place, meshMax, listen(env.t, "127.0.0.1:0"), listen(env.t, "127.0.0.1:0"))
+}
+
+// restart starts a gateway that has ended at its earlier addresses.
+func (env *testEnv) restart(gw *testGateway) *testGateway {
+	env.t.Helper()
+	return env.startAt(gw.Daemon, gw.Place, gw.MeshMax, listen(env.t, gw.CallerAddress), listen(env.t, gw.PeerAddress))
+}
+
+func (env *testEnv) startAt(id, place string, meshMax int, callers, peers net.Listener) *testGateway {
+	env.t.Helper()
 	g := &Gateway{
 		Daemon: id, Place: place, Region: "r", Regions: map[string]string{"a": "r", "b": "r", "c": "r"}, MeshMax: meshMax,
 		CallerAddress: callers.Addr().String(), PeerAddress: peers.Addr().String(),
@@ -341,6 +363,9 @@
 		},
 		Reporter: env.reporter, Backends: &backend.Pool{Names: testHeaderNames}, Log: logr.Discard(),
 	}
+	if env.gatewayStore != nil {
+		g.Store = env.gatewayStore
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	gw := &testGateway{Gateway: g, ended: make(chan error, 1), cancel: cancel}
 	go func() { gw.ended <- g.Run(ctx) }()
@@ -354,9 +379,9 @@
 	return gw
 }
 
-func listen(t *testing.T) net.Listener {
+func listen(t *testing.T, address string) net.Listener {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -122,8 +122,8 @@
 		return problem.New(problem.BadRequest, "%v", err)
 	}
 	s.call = call
-	if s.view == nil || s.view.index == nil || s.view.Members == nil {
-		p := problem.New(problem.NoCapacity, "no configuration is known yet")
+	if missing := s.view.missing(); missing != "" {
+		p := problem.New(problem.NoCapacity, "%s not known yet", missing)
 		p.RetryAfter = noConfigurationRetryAfter
 		return p
 	}
@@ -146,6 +146,18 @@
 	return s.chargeQuota()
 }
 
+// missing names what a daemon must know to serve requests and does not know yet. It is empty
+// if nothing is missing.
+func (v *View) missing() string {
+	switch {
+	case v == nil || v.index == nil:
+		return "the configuration is"
+	case v.Members == nil:
+		return "the backend servers are"
+	}
+	return ""
+}
+
 func (s *session) authenticate(index *index) *problem.Problem {
 	s.rank = s.route.Rank
 	if len(index.Organisations) == 0 || s.route.Public {
--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -85,8 +85,9 @@
 // nothing while the store drops its history.
 func (g *Gateway) pollStore(ctx context.Context) error {
 	dep := dependency{g: g, name: "store"}
+	started := time.Now()
 	for ctx.Err() == nil {
-		if !time.Now().After(g.nextPoll()) {
+		if !time.Now().After(g.nextPoll(started)) {
 			sleep(ctx, pollCheckInterval)
 			continue
 		}
@@ -102,10 +103,10 @@
 }
 
 // nextPoll returns when this daemon reads the store if no peer's listing arrives before.
-func (g *Gateway) nextPoll() time.Time {
+func (g *Gateway) nextPoll(started time.Time) time.Time {
 	lastRead := g.storeReadAt.Load()
 	if lastRead == nil {
-		return time.Time{}
+		return started.Add(g.view.Load().firstReadDelay(g.Daemon, g.Region))
 	}
 	return lastRead.Add(g.pollInterval() + g.view.Load().pollDelay(g.Daemon))
 }
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -25,7 +25,9 @@
 // status returns the status of this daemon for a scope.
 func (g *Gateway) status(now time.Time, scope statusScope) message.Status {
 	s := message.Status{Clock: time.Now().UnixMilli(), Draining: g.draining.Load(), Duty: g.holdsDuty.Load()}
-	if c := g.view.Load().Configuration(); c != nil {
+	v := g.view.Load()
+	s.ServersListed = v != nil && v.Members != nil
+	if c := v.Configuration(); c != nil {
 		s.Revision = c.Version
 	}
 	s.Refused = g.dispatcher.RefusedHash(now)
--- /dev/null
+++ b/internal/gateway/supply.go
@@ -0,0 +1,120 @@
+package gateway
+
+import (
+	"time"
+
+	"apricotbridge/internal/keyvalue"
+	"apricotbridge/internal/message"
+)
+
+const (
+	// supplyInterval is the least time between two messages with the configuration and the
+	// servers to one peer.
+	supplyInterval = time.Second
+	// supplierDelay is how long after a peer was first heard only its nearest peers send it what
+	// it lacks. After that every daemon does.
+	supplierDelay = time.Second
+	// suppliersPerPeer is the number of daemons of a region that send a peer what it lacks, where
+	// all daemons are linked.
+	suppliersPerPeer = 2
+	// daemonsWait is how long a daemon that starts waits for the list of daemons before it reads
+	// the store.
+	daemonsWait = 300 * time.Millisecond
+	// firstReadStagger is how much longer each further daemon of a region waits after its start
+	// for what its peers know before it reads the store itself, and maxFirstReadDelay bounds the
+	// sum. When all daemons start at once, the link to the store does not bear that each of them
+	// reads everything.
+	firstReadStagger  = 250 * time.Millisecond
+	maxFirstReadDelay = 1500 * time.Millisecond
+)
+
+// greet sends a status to a peer whose link has just opened, so that each side soon knows what
+// the other one lacks.
+func (g *Gateway) greet(p message.Hello) {
+	data, err := message.Encode(message.KindStatus, g.status(time.Now(), farPeers))
+	if err != nil {
+		g.Log.Error(err, "status not sent")
+		return
+	}
+	if err := g.hub.Send(p.Daemon, message.KindStatus, data); err != nil {
+		g.Log.V(1).Info("status not sent", "Peer", p.Daemon, "Error", err.Error())
+	}
+}
+
+// supply sends a peer the configuration and the list of servers if its status shows that it
+// lacks them. What a peer knows is as recent as what it serves with itself.
+func (c *control) supply(now time.Time, p *peerState, s message.Status) {
+	lacksConfiguration := c.index != nil && s.Revision < c.index.Version &&
+		(s.Revision == 0 || now.Sub(c.adoptedAt) > configurationResendDelay)
+	lacksServers := c.serversListed && !s.ServersListed
+	if !lacksConfiguration && !lacksServers || now.Sub(p.suppliedAt) < supplyInterval || !c.isSupplierOf(now, p) {
+		return
+	}
+	p.suppliedAt = now
+	if lacksConfiguration {
+		c.sendConfiguration([]string{p.hello.Daemon})
+	}
+	if lacksServers {
+		m := message.Listing{Revision: c.listRevision, Hash: c.fleet.Hash(), Complete: true}
+		if c.index != nil {
+			m.Version = c.index.Version
+		}
+		for _, e := range c.entries {
+			m.Changes = append(m.Changes, e)
+		}
+		c.sendListing(m, func(q peerState) bool { return q.hello.Daemon == p.hello.Daemon })
+	}
+}
+
+// isSupplierOf reports whether this daemon is one of those that send a peer what it lacks.
+func (c *control) isSupplierOf(now time.Time, p *peerState) bool {
+	switch {
+	case now.Sub(p.heardAt) > supplierDelay:
+		return true
+	case p.hello.Region != c.g.Region:
+		return false
+	case c.topology.ByPlace:
+		return c.topology.Delegate
+	}
+	before := 0
+	for id, other := range c.peers {
+		if id < c.g.Daemon && id != p.hello.Daemon && other.hello.Region == c.g.Region {
+			before++
+		}
+	}
+	return before < suppliersPerPeer
+}
+
+// keepEntries keeps the entries of servers for supply.
+func (c *control) keepEntries(entries []message.StoreEntry) {
+	for _, e := range entries {
+		if e.Deleted {
+			delete(c.entries, e.Key)
+		} else {
+			c.entries[e.Key] = e
+		}
+	}
+}
+
+// storeEntry converts an entry to its form in messages.
+func storeEntry(e keyvalue.Entry) message.StoreEntry {
+	return message.StoreEntry{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted}
+}
+
+// firstReadDelay returns how long after its start a daemon waits for what its peers know. The
+// first daemon of a region does not wait, nor does one without peers.
+func (v *View) firstReadDelay(self, region string) time.Duration {
+	switch {
+	case v == nil || !v.daemonsListed:
+		return daemonsWait
+	case v.ByPlace && !v.Delegate:
+		return maxFirstReadDelay
+	}
+	position := 0
+	for _, d := range v.Daemons {
+		if d.ID < self && d.Region == region && (!v.ByPlace || v.Delegates[d.ID]) {
+			position++
+		}
+	}
+	return min(time.Duration(position)*firstReadStagger, maxFirstReadDelay)
+}
--- /dev/null
+++ b/internal/gateway/supply_test.go
@@ -0,0 +1,101 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"apricotbridge/internal/keyvalue"
+	"apricotbridge/pkg/problem"
+)
+
+// listsOnlyDaemons is a store that does not answer reads of the configuration and the servers.
+type listsOnlyDaemons struct{ *store }
+
+func (s listsOnlyDaemons) Get(context.Context, string) (keyvalue.Entry, error) {
+	return keyvalue.Entry{}, keyvalue.ErrUnavailable
+}
+
+func (s listsOnlyDaemons) List(ctx context.Context, prefix string) ([]keyvalue.Entry, int64, error) {
+	if prefix == "servers/" {
+		return nil, 0, keyvalue.ErrUnavailable
+	}
+	return s.store.List(ctx, prefix)
+}
+
+// TestPeersSupplyDaemonThatCannotReadTheStore guards against a daemon that refuses all requests
+// after its start although its peers know the configuration and the servers.
+func TestPeersSupplyDaemonThatCannotReadTheStore(t *testing.T) {
+	for _, meshMax := range []int{0, 1} {
+		t.Run(fmt.Sprint("mesh of ", meshMax), func(t *testing.T) {
+			env := newTestEnv(t)
+			env.addServer("s1", "plain", signedAnswer("ok"))
+			first := env.startIn("g1", "a", meshMax)
+			waitFor(t, "the first daemon is ready", first.Ready)
+			env.gatewayStore = listsOnlyDaemons{env.store}
+			second := env.startIn("g2", "a", meshMax)
+			waitFor(t, "the second daemon is ready", second.Ready)
+			if got := second.send(t.Context(), http.MethodPost, "/unsafe/x"); got.status != http.StatusOK {
+				t.Errorf("got %+v", got)
+			}
+			env.register(env.addServer("s2", "plain", signedAnswer("ok")), "plain", false)
+			waitFor(t, "the second daemon follows changes", func() bool { return second.accepting("s2") })
+		})
+	}
+}
+
+// TestStartOfAllReadsConfigurationOnce guards against daemons that each read everything from the
+// store when all start at once.
+func TestStartOfAllReadsConfigurationOnce(t *testing.T) {
+	env := newTestEnv(t)
+	env.addServer("s1", "plain", signedAnswer("ok"))
+	const daemons = 8
+	var before []*testGateway
+	for i := range daemons {
+		before = append(before, env.startIn(fmt.Sprint("g", i), "a", 0))
+	}
+	for _, gw := range before {
+		waitFor(t, gw.Daemon+" is ready", gw.Ready)
+	}
+	for _, gw := range before {
+		gw.cancel()
+		err := <-gw.ended
+		gw.ended <- err
+	}
+	env.store.mu.Lock()
+	env.store.configurationReads = 0
+	env.store.mu.Unlock()
+	var after []*testGateway
+	for _, gw := range before {
+		after = append(after, env.restart(gw))
+	}
+	for _, gw := range after {
+		waitFor(t, gw.Daemon+" is ready again", gw.Ready)
+	}
+	env.store.mu.Lock()
+	defer env.store.mu.Unlock()
+	// The first daemon reads; one more may do so if it takes long.
+	if n := env.store.configurationReads; n > 2 {
+		t.Errorf("%d reads of the configuration by %d daemons", n, daemons)
+	}
+}
+
+// TestMissingKnowledge guards against a refusal that names the wrong reason.
+func TestMissingKnowledge(t *testing.T) {
+	env := newTestEnv(t)
+	env.gatewayStore = listsOnlyDaemons{env.store}
+	gw := env.start("g1")
+	waitFor(t, "the daemon listens", func() bool { return gw.view.Load() != nil })
+	got := gw.send(t.Context(), http.MethodPost, "/unsafe/x")
+	if got.status != http.StatusServiceUnavailable || !strings.Contains(got.body, "configuration is not known") {
+		t.Errorf("got %+v", got)
+	}
+	gw.offerConfiguration(env.document(), "Test")
+	waitFor(t, "the configuration is in force", func() bool { return gw.view.Load().Configuration() != nil })
+	got = gw.send(t.Context(), http.MethodPost, "/unsafe/x")
+	if got.status != http.StatusServiceUnavailable || !strings.Contains(got.body, "servers are not known") || !strings.Contains(got.body, string(problem.NoCapacity)) {
+		t.Errorf("got %+v", got)
+	}
+}
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -322,6 +322,9 @@
 	// Entries that changed since the previous listing.
 	Changes []StoreEntry `json:"Changes,omitempty,omitzero"`
 
+	// Whether Changes has all entries, for a receiver without a list.
+	Complete bool `json:"Complete,omitempty,omitzero"`
+
 	// Hash of the server list after Changes.
 	Hash uint64 `json:"Hash"`
 
@@ -480,6 +483,9 @@
 
 	// Prompts that the sender sent to backend servers since its last message.
 	Sent []SentPrompt `json:"Sent,omitempty,omitzero"`
+
+	// Whether the sender has a list of the backend servers.
+	ServersListed bool `json:"ServersListed,omitempty,omitzero"`
 }
 
 // StoreEntry is a key of the store with its value.
