routing, dispatch: keep sums of peer loads, count free slots only for waiting requests

Each status of a peer, 320 a second at a daemon, removed its loads from all servers and counted the free slots of all services, which summed the loads of 53 sources at each server, whether or not a request waited.

Change: the sum of a server's peer loads is kept until one of them changes or expires, a report touches only the servers that it or its predecessor lists, and free slots are counted only while requests wait. The router learns of a table when it is set, not with the first decision.

Test: TestPeerLoadSums.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -134,6 +134,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.table = t
+	d.Router.SetTable(t)
 	d.grantFreeSlots(now)
 }
 
@@ -356,7 +357,7 @@
 func (d *Dispatcher) grantFreeSlots(now time.Time) {
 	d.refuseDropped(now)
 	d.grantParked(now)
-	for {
+	for d.Queue.Len() > 0 { // Counting free slots is expensive with hundreds of servers.
 		var free admission.Capacity
 		for _, service := range d.table.Services() {
 			if d.Router.FreeSlots(now, d.table, service) > d.countParked(service) {
--- a/internal/routing/parts.go
+++ b/internal/routing/parts.go
@@ -72,15 +72,34 @@
 	Pending int
 }
 
-// sumPeerLoads returns the load on a server from other daemons, without expired reports.
+// peerLoadSum is the sum of the peer loads of a server, from a time until the first of them
+// expires.
+type peerLoadSum struct {
+	from, until            time.Time
+	running, pendingTokens float64
+}
+
+// sumPeerLoads returns the load on a server from other daemons, without expired reports. It
+// keeps the sum: every decision asks for those of all servers, while a report changes few.
 func (st *serverState) sumPeerLoads(now time.Time) (running, pending float64) {
-	for source, l := range st.peerLoads {
-		if now.Sub(l.reportedAt) < source.maxAge() {
-			running += l.running
-			pending += l.pendingTokens
+	if len(st.peerLoads) == 0 {
+		return 0, 0
+	}
+	if s := &st.peerLoadSum; now.Before(s.from) || !now.Before(s.until) {
+		*s = peerLoadSum{from: now, until: now.Add(peerLoadMaxAge)}
+		for source, l := range st.peerLoads {
+			expiry := l.reportedAt.Add(source.maxAge())
+			if !now.Before(expiry) {
+				continue
+			}
+			s.running += l.running
+			s.pendingTokens += l.pendingTokens
+			if expiry.Before(s.until) {
+				s.until = expiry
+			}
 		}
 	}
-	return running, pending
+	return st.peerLoadSum.running, st.peerLoadSum.pendingTokens
 }
 
 // backlogSeconds is the prefill time of the prompts queued at a server.
@@ -129,9 +148,12 @@
 }
 
 func (r *Router) replaceLoads(at time.Time, source loadSource, loads []ServerLoad) {
-	for _, st := range r.states {
+	reported := r.reportedStates[source]
+	for _, st := range reported {
 		delete(st.peerLoads, source)
+		st.peerLoadSum = peerLoadSum{}
 	}
+	reported = reported[:0]
 	for _, l := range loads {
 		st := r.states[l.Server]
 		if st == nil {
@@ -141,7 +163,10 @@
 			st.peerLoads = map[loadSource]peerLoad{}
 		}
 		st.peerLoads[source] = peerLoad{running: float64(l.Running), pendingTokens: float64(l.Pending), reportedAt: at}
+		st.peerLoadSum = peerLoadSum{}
+		reported = append(reported, st)
 	}
+	r.reportedStates[source] = reported
 }
 
 // LoadsInPlace returns the load that this daemon and its peers put on the servers, without
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -74,7 +74,8 @@
 	cacheTokens   float64
 	tokensEntered float64
 	// peerLoads holds the load that other daemons and places reported.
-	peerLoads map[loadSource]peerLoad
+	peerLoads   map[loadSource]peerLoad
+	peerLoadSum peerLoadSum
 }
 
 // inFlightCall is a dispatched call that has not ended.
@@ -103,7 +104,9 @@
 	states     map[string]*serverState
 	handles    map[uint32]*serverState
 	lastHandle uint32
-	inFlight   map[string]inFlightCall
+	// reportedStates holds the servers with a load of each source.
+	reportedStates map[loadSource][]*serverState
+	inFlight       map[string]inFlightCall
 
 	blockRecords   *simplelru.LRU[uint64, *blockRecord]
 	partRecords    *simplelru.LRU[uint64, *partRecord]
@@ -137,11 +140,12 @@
 		options.MaxSharedPrefixes = defaultMaxSharedPrefixes
 	}
 	r := &Router{
-		options:     options,
-		states:      make(map[string]*serverState),
-		handles:     make(map[uint32]*serverState),
-		inFlight:    make(map[string]inFlightCall),
-		slotSeconds: defaultSlotSeconds,
+		options:        options,
+		states:         make(map[string]*serverState),
+		handles:        make(map[uint32]*serverState),
+		reportedStates: make(map[loadSource][]*serverState),
+		inFlight:       make(map[string]inFlightCall),
+		slotSeconds:    defaultSlotSeconds,
 	}
 	// NewLRU fails only for sizes below 1.
 	r.blockRecords, _ = simplelru.NewLRU[uint64, *blockRecord](options.MaxBlocks, nil)
@@ -154,6 +158,10 @@
 // deployments in which daemons report their requests only within their place.
 func (r *Router) PreferPlace(prefer bool) { r.preferPlace = prefer }
 
+// SetTable makes the servers of a table known before the first decision among them, so that
+// reports about them are kept.
+func (r *Router) SetTable(t *Table) { r.syncTable(t) }
+
 // syncTable updates the per-server state to a table. It does nothing when the table is
 // the one of the previous call.
 func (r *Router) syncTable(t *Table) {
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -256,3 +256,27 @@
 		}
 	}
 }
+
+// TestPeerLoadSums guards against a kept sum of peer loads that misses a report, its
+// replacement or its expiry.
+func TestPeerLoadSums(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	r := New(Options{SharedLoads: true})
+	r.SetTable(NewTable([]Server{{ID: "a", Service: "s", Slots: 8, Accepting: true}, {ID: "b", Service: "s", Slots: 8, Accepting: true}}, nil))
+	check := func(step string, at time.Time, want float64) {
+		t.Helper()
+		if got, _ := r.states["a"].sumPeerLoads(at); got != want {
+			t.Errorf("%s: load %v, want %v", step, got, want)
+		}
+	}
+	load := func(server string, running int) []ServerLoad { return []ServerLoad{{Server: server, Running: running}} }
+	r.SetPeerLoads(now, "one", load("a", 2))
+	r.SetPlaceLoads(now, "place", load("a", 4))
+	check("two sources", now, 6)
+	r.SetPeerLoads(now.Add(time.Second), "two", load("a", 1))
+	check("a third source", now.Add(time.Second), 7)
+	check("the first source has expired", now.Add(peerLoadMaxAge), 5)
+	check("the place has expired", now.Add(placeLoadMaxAge), 1)
+	r.SetPeerLoads(now.Add(2*time.Second), "two", load("b", 1))
+	check("the last source has moved", now.Add(2*time.Second), 0)
+}
