gateway: answer requests at the end of a drain, end stalled streams, survive panics

A planned stop cut off requests: at the end of a drain the HTTP server closed all connections, and http.Server.Shutdown drops a request whose headers are just being read.

A stalled stream that sends a byte now and then was waited for until its deadline, because each byte extended the time for the next event. The time runs from the last complete event now; sound streams have events within it.

One entry, message or event at which the daemon panics ended the process. It is dropped now with a log line, and an entry counts as unreadable, so that the list is followed.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -3,11 +3,16 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"maps"
+	"runtime/debug"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
+	"github.com/juju/errors"
+
 	"apricotbridge/internal/admission"
 	"apricotbridge/internal/fleet"
 	"apricotbridge/internal/keyvalue"
@@ -125,15 +130,14 @@
 		case <-ctx.Done():
 			return nil
 		case event := <-g.events:
-			event(c)
+			c.handle(event)
 		case <-ticker.C:
 			c.expire(time.Now())
 		}
 		// Publish once for all queued events. The number of events is bounded, so that a
 		// steady stream of them does not delay the view.
 		for range len(g.events) {
-			event := <-g.events
-			event(c)
+			c.handle(<-g.events)
 		}
 		if c.changed {
 			c.publish(time.Now())
@@ -141,6 +145,31 @@
 	}
 }
 
+// handle runs an event. One that panics is dropped: the daemon serves on with what it knows.
+func (c *control) handle(event func(*control)) {
+	defer c.g.recoverPanic("event of the control goroutine")
+	event(c)
+}
+
+// recoverPanic logs a panic in a deferred call and ends it.
+func (g *Gateway) recoverPanic(in string) {
+	if cause := recover(); cause != nil {
+		g.Log.Error(errors.Errorf("%v", cause), "recovered from a panic", "In", in, "Stack", string(debug.Stack()))
+	}
+}
+
+// registration decodes an entry of a server. An entry that makes the decoder panic is
+// unreadable, so that the others are followed.
+func (c *control) registration(e keyvalue.Entry) (r fleet.Registration) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			id := strings.TrimPrefix(e.Key, c.g.Keys.Servers)
+			r = fleet.Registration{ID: id, Revision: e.Revision, Unreadable: fmt.Sprint("decoder panicked: ", cause)}
+		}
+	}()
+	return c.g.Decoder.Registration(e)
+}
+
 // adopt puts a configuration in force if it is newer than the present one.
 func (c *control) adopt(now time.Time, next *Configuration, source string) {
 	if c.index != nil && next.Version <= c.index.Version {
@@ -217,7 +246,7 @@
 	clear(c.entries)
 	c.listRevision = revision
 	for _, e := range entries {
-		r := c.g.Decoder.Registration(e)
+		r := c.registration(e)
 		byID[r.ID] = e
 		list = append(list, r)
 		c.entries[e.Key] = storeEntry(e)
@@ -291,7 +320,7 @@
 	}
 	c.keepEntries(m.Changes)
 	for _, e := range m.Changes {
-		r := c.g.Decoder.Registration(keyvalue.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted})
+		r := c.registration(keyvalue.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted})
 		if change, ok := c.fleet.Apply(now, r); ok {
 			c.serverChanged(now, change)
 		}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -182,9 +182,15 @@
 	return &c, nil
 }
 
+// panickingEntry is an entry of a server at which decoder panics.
+const panickingEntry = `"panic"`
+
 func (decoder) Registration(e keyvalue.Entry) fleet.Registration {
 	r := fleet.Registration{ID: strings.TrimPrefix(e.Key, "servers/"), Revision: e.Revision}
 	var s fleet.Server
+	if string(e.Value) == panickingEntry {
+		panic(panickingEntry)
+	}
 	if !e.Deleted && json.Unmarshal(e.Value, &s) == nil && s.Address != "" {
 		r.Server = &s
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -58,10 +58,11 @@
 		<-watchEnded
 	}()
 	s.stream.firstEventAt, s.stream.survived = time.Time{}, false
+	lastEventAt := time.Now()
 	var pending []byte
 	buffer := make([]byte, relayBufferSize)
 	for {
-		res.SetReadDeadline(s.readDeadline(time.Now()))
+		res.SetReadDeadline(s.readDeadline(lastEventAt))
 		n, err := res.Read(buffer)
 		pending = append(pending, buffer[:n]...)
 		end := bytes.LastIndex(pending, []byte("\n\n"))
@@ -73,6 +74,7 @@
 				s.abortDisconnected(writeErr.Error())
 			}
 			pending = append(pending[:0], pending[end+2:]...)
+			lastEventAt = time.Now()
 		}
 		switch {
 		// Without a length, a stream that ends before its first event was cut off.
@@ -89,10 +91,11 @@
 	}
 }
 
-// readDeadline returns the time at which the wait for further bytes of a stream ends.
-func (s *session) readDeadline(now time.Time) time.Time {
+// readDeadline returns the time at which the wait for the next event of a stream ends. Bytes
+// without a complete event do not extend it.
+func (s *session) readDeadline(lastEventAt time.Time) time.Time {
 	if s.stream.eventCount > 0 && s.repeatable() && !s.attemptsExhausted() {
-		if silenceEnds := now.Add(max(silentGapFactor*s.route.TargetEventGap, minStreamSilence)); silenceEnds.Before(s.deadline) {
+		if silenceEnds := lastEventAt.Add(max(silentGapFactor*s.route.TargetEventGap, minStreamSilence)); silenceEnds.Before(s.deadline) {
 			return silenceEnds
 		}
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -43,16 +44,28 @@
 	// writeGrace is how long after its deadline an answer may still be written to a slow
 	// caller.
 	writeGrace = 2 * time.Second
+	// lateRequestTime is how long a request that arrives at the very end of a drain may take
+	// to be read and refused.
+	lateRequestTime = drainMargin / 2
 	// noConfigurationRetryAfter is the Retry-After of a daemon without a configuration.
 	noConfigurationRetryAfter = 300 * time.Millisecond
 )
 
 // serveCallers accepts callers' connections and serves their requests.
 func (g *Gateway) serveCallers(ctx context.Context) error {
+	var open atomic.Int64 // Connections.
 	s := &http.Server{
 		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, BaseContext: func(net.Listener) context.Context { return ctx },
 		ErrorLog: nil,
+		ConnState: func(_ net.Conn, state http.ConnState) {
+			switch state {
+			case http.StateNew:
+				open.Add(1)
+			case http.StateClosed, http.StateHijacked:
+				open.Add(-1)
+			}
+		},
 	}
 	served := make(chan error, 1)
 	go func() { served <- s.Serve(g.CallerListener) }()
@@ -60,9 +73,14 @@
 	case err := <-served:
 		return errors.Annotate(err, "serve callers")
 	case <-g.drained:
+		// A drain has already waited for the requests that it knew of. One may just arrive:
+		// http.Server.Shutdown would cut it off.
+		s.SetKeepAlivesEnabled(false) // Closes the idle connections.
+		for until := time.Now().Add(lateRequestTime); open.Load() > 0 && time.Now().Before(until); {
+			sleep(ctx, drainPollInterval)
+		}
 	case <-ctx.Done():
 	}
-	// A drain has already waited for the requests; only idle connections remain.
 	err := s.Close()
 	if e := <-served; err == nil && !errors.Is(e, http.ErrServerClosed) {
 		err = e
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -43,8 +43,9 @@
 	return s
 }
 
-// handleMessage handles a message of a peer.
+// handleMessage handles a message of a peer. One that makes the daemon panic is dropped.
 func (g *Gateway) handleMessage(from message.Hello, e message.Envelope) {
+	defer g.recoverPanic("message of a peer")
 	now := time.Now()
 	switch e.Kind {
 	case message.KindStatus:
