lease, gateway: hand the duty over as soon as its holder can't reach the store

Candidates began to watch the lease only after the holder's statuses had stopped, waited for its whole length, and then for another one in case of a renewal right before the claim, which the claim's revision excludes.

Change: a holder whose renewals have failed for half of the lease while peers read the store gives the duty up. Statuses have the last fencing number that the sender has given up, and candidates need not wait for a lease of which its holder says so. Otherwise orders wait for the end of the lease of the last renewal that can have taken effect. A daemon that gave the duty up does not take it again for the time of a lease, so that it does not alternate with the next one.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -405,7 +405,7 @@
 		c.g.sendRefusedSuspects(now, from.Daemon)
 	}
 	c.supply(now, p, s)
-	c.g.notePeerDuty(now, s.Duty)
+	c.g.notePeerDuty(now, from, s)
 }
 
 // peerDown removes a peer when its last link is lost.
--- a/internal/gateway/duty.go
+++ b/internal/gateway/duty.go
@@ -15,6 +15,7 @@
 	"apricotbridge/internal/accounting"
 	"apricotbridge/internal/keyvalue"
 	"apricotbridge/internal/lease"
+	"apricotbridge/internal/message"
 	"apricotbridge/internal/scaling"
 )
 
@@ -107,9 +108,12 @@
 	revision       int64
 	reportedLoaded bool
 	reportSent     bool
-	// resigned means that the daemon has given the duty up.
-	resigned bool
-	plans    map[string]*scaling.Plan
+	// resigned means that the daemon has given the duty up, at resignedAt.
+	resigned   bool
+	resignedAt time.Time
+	// peerGaveUp is the last value of Gateway.peerGaveUpDuty that was applied.
+	peerGaveUp *lease.GivenUp
+	plans      map[string]*scaling.Plan
 	// ordered holds the last orders.
 	ordered   map[orderKey]orderState
 	plannedAt time.Time
@@ -147,11 +151,11 @@
 		eligible := g.eligibleForDuty()
 		switch {
 		case g.draining.Load(), !eligible && s.duty.Holds(bootClockNow()):
-			s.performActions(ctx, s.duty.Step(bootClockNow(), lease.Resign{}))
-			s.resigned = true
-		case eligible && s.resigned:
+			s.resign(ctx, time.Now())
+		case eligible && s.resigned && time.Since(s.resignedAt) > g.Bounds.Lease:
 			s.duty, s.resigned = g.newDuty(), false // Resigning is permanent.
 		}
+		s.applyGivenUp(ctx, time.Now())
 		g.holdsDuty.Store(s.duty.Holds(bootClockNow()))
 		if !eligible {
 			continue
@@ -172,7 +176,7 @@
 
 // newDuty returns the state machine of the duty's lease at this daemon.
 func (g *Gateway) newDuty() *lease.Duty {
-	seed := uint64(g.start)
+	seed := dutyIncarnation(g.start)
 	return lease.New(lease.Config{
 		Name: dutyName, Holder: g.Daemon, Incarnation: seed, Lease: g.Bounds.Lease, OrderLifetime: dutyCallTimeout,
 		Rand: rand.New(rand.NewPCG(seed, 2)), //nolint:gosec // Not for secrets.
@@ -186,11 +190,39 @@
 	return v != nil && v.Delegate
 }
 
-// notePeerDuty records that a peer's status shows it as holder of the duty.
-func (g *Gateway) notePeerDuty(now time.Time, holds bool) {
-	if holds {
+// notePeerDuty records that a peer's status shows it as holder of the duty, or that it has given
+// the duty up.
+func (g *Gateway) notePeerDuty(now time.Time, from message.Hello, s message.Status) {
+	if s.Duty {
 		g.peerHeldDutyAt.Store(&now)
 	}
+	last := g.peerGaveUpDuty.Load()
+	if s.DutyGivenUp > 0 && (last == nil || s.DutyGivenUp > last.Fence) {
+		g.peerGaveUpDuty.Store(&lease.GivenUp{Holder: from.Daemon, Incarnation: dutyIncarnation(from.Start), Fence: s.DutyGivenUp})
+		g.peerHeldDutyAt.Store(nil)
+	}
+}
+
+// dutyIncarnation returns the incarnation of a daemon in the lease of the duty.
+func dutyIncarnation(start int64) uint64 { return uint64(start) } //nolint:gosec // Any bits identify it.
+
+// applyGivenUp passes on that a peer has given the duty up, and gives it up where peers reach
+// the store and this daemon does not, since one of them can take it over sooner.
+func (s *dutyState) applyGivenUp(ctx context.Context, now time.Time) {
+	if p := s.g.peerGaveUpDuty.Load(); p != s.peerGaveUp {
+		s.peerGaveUp = p
+		s.performActions(ctx, s.duty.Step(bootClockNow(), *p))
+	}
+	if read := s.g.storeReadAt.Load(); s.duty.RenewalOverdue(bootClockNow()) && read != nil && now.Sub(*read) < s.g.pollInterval() {
+		s.resign(ctx, now)
+	}
+	s.g.dutyGivenUp.Store(max(s.duty.GivenUp(), s.g.dutyGivenUp.Load()))
+}
+
+// resign gives the duty up for the time of a lease at least.
+func (s *dutyState) resign(ctx context.Context, now time.Time) {
+	s.performActions(ctx, s.duty.Step(bootClockNow(), lease.Resign{}))
+	s.resigned, s.resignedAt = true, now
 }
 
 // performActions executes the actions of the lease's state machine.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"apricotbridge/internal/dispatch"
 	"apricotbridge/internal/fleet"
 	"apricotbridge/internal/keyvalue"
+	"apricotbridge/internal/lease"
 	"apricotbridge/internal/message"
 	"apricotbridge/internal/peer"
 	"apricotbridge/internal/quarantine"
@@ -158,6 +159,10 @@
 	// when a peer's status last showed that the peer holds it.
 	holdsDuty      atomic.Bool
 	peerHeldDutyAt atomic.Pointer[time.Time]
+	// dutyGivenUp is the last fencing number that this daemon has given up, and
+	// peerGaveUpDuty the last one of a peer.
+	dutyGivenUp    atomic.Uint64
+	peerGaveUpDuty atomic.Pointer[lease.GivenUp]
 
 	draining   atomic.Bool
 	drainStart atomic.Pointer[time.Time]
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -24,7 +24,7 @@
 
 // status returns the status of this daemon for a scope.
 func (g *Gateway) status(now time.Time, scope statusScope) message.Status {
-	s := message.Status{Clock: time.Now().UnixMilli(), Draining: g.draining.Load(), Duty: g.holdsDuty.Load()}
+	s := message.Status{Clock: time.Now().UnixMilli(), Draining: g.draining.Load(), Duty: g.holdsDuty.Load(), DutyGivenUp: g.dutyGivenUp.Load()}
 	v := g.view.Load()
 	s.ServersListed = v != nil && v.Members != nil
 	if c := v.Configuration(); c != nil {
--- a/internal/gateway/supply_test.go
+++ b/internal/gateway/supply_test.go
@@ -5,12 +5,59 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"apricotbridge/internal/keyvalue"
 	"apricotbridge/pkg/problem"
 )
 
+// severableStore is a store from which a daemon can be cut off.
+type severableStore struct {
+	*store
+	severed atomic.Bool
+}
+
+func (s *severableStore) Get(ctx context.Context, key string) (keyvalue.Entry, error) {
+	if s.severed.Load() {
+		return keyvalue.Entry{}, keyvalue.ErrUnavailable
+	}
+	return s.store.Get(ctx, key)
+}
+
+func (s *severableStore) CompareAndSwap(ctx context.Context, key string, value []byte, revision int64, lease string) (keyvalue.Entry, error) {
+	if s.severed.Load() {
+		return keyvalue.Entry{}, keyvalue.ErrUnavailable
+	}
+	return s.store.CompareAndSwap(ctx, key, value, revision, lease)
+}
+
+// TestDutyOfDaemonWithoutStoreMovesOn guards against a duty that nobody performs for the lease
+// time and longer after its holder was cut off from the store, although its peers are not.
+func TestDutyOfDaemonWithoutStoreMovesOn(t *testing.T) {
+	env := newTestEnv(t)
+	env.reporter = discardReports{}
+	cut := &severableStore{store: env.store}
+	env.gatewayStore = cut
+	first := env.startReady("g1")
+	waitFor(t, "the first daemon holds the duty", first.holdsDuty.Load)
+	env.gatewayStore = nil
+	second := env.startReady("g2")
+	waitFor(t, "the daemons are linked", func() bool { return len(second.hub.Peers()) == 1 })
+	time.Sleep(2 * dutyHolderTimeout) // The second daemon has no reason to read the lease.
+	cut.severed.Store(true)
+	cutAt := time.Now()
+	waitFor(t, "the second daemon holds the duty", second.holdsDuty.Load)
+	// The lease, a status and the calls of the next holder.
+	if took := time.Since(cutAt); took > first.Bounds.Lease+600*time.Millisecond {
+		t.Errorf("taken over after %v", took)
+	}
+	if first.holdsDuty.Load() {
+		t.Error("both daemons hold the duty")
+	}
+}
+
 // listsOnlyDaemons is a store that does not answer reads of the configuration and the servers.
 type listsOnlyDaemons struct{ *store }
 
--- a/internal/lease/duty.go
+++ b/internal/lease/duty.go
@@ -55,6 +55,11 @@
 	ordersFrom       time.Time
 	resigning        bool
 	resigned         bool
+	// othersGivenUp is the last GivenUp of another daemon. givenUp is the fencing number that
+	// this daemon has given up, and givenUpAt when it did.
+	othersGivenUp GivenUp
+	givenUp       uint64
+	givenUpAt     time.Time
 }
 
 // New returns a Duty that is not held.
@@ -83,6 +88,16 @@
 	return d.current.Fence
 }
 
+// GivenUp returns the last fencing number under which this daemon has acted and no longer will;
+// 0 means none.
+func (d *Duty) GivenUp() uint64 { return d.givenUp }
+
+// RenewalOverdue reports whether the duty is held and half of its lease has passed without a
+// renewal.
+func (d *Duty) RenewalOverdue(now time.Time) bool {
+	return d.Holds(now) && now.Sub(d.renewedAt) > d.config.Lease/2
+}
+
 // MayOrder reports whether orders may be given to engines that ignore fencing
 // numbers.
 func (d *Duty) MayOrder(now time.Time) bool { return d.Holds(now) && !now.Before(d.ordersFrom) }
@@ -94,8 +109,13 @@
 		d.loseDuty("lease lapsed")
 	}
 	switch ev := ev.(type) {
+	case GivenUp:
+		d.othersGivenUp = ev
+		// The candidates do not call at the same moment.
+		d.nextCall = now.Add(d.withJitter(d.config.Lease / retriesPerLease))
 	case Resign:
 		if d.holding && !d.resigning {
+			d.noteGivenUp()
 			d.emit(Lost{Reason: "resigned"})
 		}
 		d.resigning, d.nextCall = true, now
@@ -152,7 +172,16 @@
 	return c
 }
 
+// noteGivenUp records that this daemon does not act under its fencing number any more.
+func (d *Duty) noteGivenUp() { d.givenUp, d.givenUpAt = d.current.Fence, d.now }
+
+// hasGivenUp reports whether the holder of a value has stated that it no longer acts.
+func (d *Duty) hasGivenUp(v Value) bool {
+	return v.Holder != "" && d.othersGivenUp == GivenUp{v.Holder, v.Incarnation, v.Fence}
+}
+
 func (d *Duty) loseDuty(reason string) {
+	d.noteGivenUp()
 	d.holding = false
 	d.emit(Lost{Reason: reason})
 }
@@ -191,13 +220,14 @@
 
 // recordValue stores the value and the revision of the key.
 func (d *Duty) recordValue(v Value, revision int64) {
+	if d.current.Holder != "" && !d.isOwn(d.current) && d.isOwn(v) && !d.hasGivenUp(d.current) {
+		// The claim took effect at the revision that was known, so that the other holder has not
+		// renewed since that was first seen.
+		d.previousLeaseEnd = d.unchangedSince.Add(d.config.Lease)
+	}
 	if !d.hasRead || revision != d.revision {
 		d.hasRead, d.unchangedSince = true, d.now
 	}
-	if d.current.Holder != "" && !d.isOwn(d.current) && d.isOwn(v) {
-		// The other holder may have renewed immediately before the claim took effect.
-		d.previousLeaseEnd = d.now.Add(d.config.Lease)
-	}
 	d.current, d.revision = v, revision
 }
 
@@ -292,7 +322,12 @@
 	if d.resigning {
 		return
 	}
-	if v.Holder != "" && !d.isOwn(v) && d.now.Sub(d.unchangedSince) < d.config.Lease {
+	if !d.givenUpAt.IsZero() && d.now.Sub(d.givenUpAt) < d.config.Lease {
+		// Another daemon may act meanwhile; the duty does not come back to this one so soon.
+		d.nextCall = d.givenUpAt.Add(d.config.Lease)
+		return
+	}
+	if v.Holder != "" && !d.isOwn(v) && !d.hasGivenUp(v) && d.now.Sub(d.unchangedSince) < d.config.Lease {
 		wait := d.withJitter(d.config.Lease / pollsPerLease)
 		d.nextCall = d.now.Add(min(wait, d.unchangedSince.Add(d.config.Lease).Sub(d.now)))
 		return
--- a/internal/lease/duty_test.go
+++ b/internal/lease/duty_test.go
@@ -21,7 +21,9 @@
 	name        string
 	duty        *Duty
 	pausedUntil time.Time
-	dead        bool
+	// cutUntil is when the node reaches the service again.
+	cutUntil time.Time
+	dead     bool
 }
 
 type scheduledCall struct {
@@ -107,11 +109,21 @@
 		}
 		return
 	}
-	for _, a := range d.Step(w.now, ev) {
+	before := d.GivenUp()
+	actions := d.Step(w.now, ev)
+	if fence := d.GivenUp(); fence != before {
+		w.announce(GivenUp{n.name, d.config.Incarnation, fence})
+	}
+	cut := w.now.Before(n.cutUntil)
+	for _, a := range actions {
 		reply := func(ev Event) { w.after(w.latency(), func() { w.step(n, d, ev) }) }
 		switch a := a.(type) {
 		case Write:
 			wait := w.latency()
+			if cut {
+				reply(CommitRefused{a.ID})
+				continue
+			}
 			if w.now.Before(w.losingUntil) && w.rng.IntN(3) == 0 {
 				reply(CommitUnknown{a.ID}) // The write may take effect later.
 				w.after(wait+w.ms(0, 500), func() { w.write(a) })
@@ -119,7 +131,7 @@
 			}
 			w.after(wait, func() { reply(w.write(a)) })
 		case Read:
-			w.after(w.latency(), func() { reply(ReadBack{a.ID, w.entry, w.now.Before(w.downUntil)}) })
+			w.after(w.latency(), func() { reply(ReadBack{a.ID, w.entry, cut || w.now.Before(w.downUntil)}) })
 		case Acquired:
 			w.acquired++
 			incarnation := d.config.Incarnation
@@ -136,6 +148,15 @@
 	}
 }
 
+// announce tells the other nodes that one has given the duty up. Some do not hear of it.
+func (w *world) announce(g GivenUp) {
+	for _, n := range w.nodes {
+		if d := n.duty; n.name != g.Holder && w.rng.IntN(5) > 0 {
+			w.after(w.ms(1, 400), func() { w.step(n, d, g) })
+		}
+	}
+}
+
 func (w *world) latency() time.Duration {
 	if w.now.Before(w.slowUntil) {
 		return w.ms(100, 2500)
@@ -182,6 +203,7 @@
 			w.after(w.ms(10, 3000), func() { w.start(n) })
 		},
 		func() { w.downUntil = w.now.Add(w.ms(100, 5000)) },
+		func() { randomNode().cutUntil = w.now.Add(w.ms(100, 5000)) },
 		func() { w.slowUntil = w.now.Add(w.ms(100, 5000)) },
 		func() { w.losingUntil = w.now.Add(w.ms(100, 5000)) },
 		func() {
@@ -206,6 +228,9 @@
 	}
 	acquiredBefore := w.acquired
 	w.downUntil, w.slowUntil, w.losingUntil = w.now, w.now, w.now
+	for _, n := range w.nodes {
+		n.cutUntil = w.now
+	}
 	w.run(5 * leaseTime)
 	holders := 0
 	for _, n := range w.nodes {
@@ -234,6 +259,47 @@
 	t.Logf("seeds 0 to %d: %d acquisitions", seeds-1, acquired)
 }
 
+// TestDutyOfDisconnectedHolderIsTakenOver guards against a duty that nobody performs for long
+// after its holder has lost the service, although that holder says so, and against one that
+// comes back to it while the next holder acts.
+func TestDutyOfDisconnectedHolderIsTakenOver(t *testing.T) {
+	// The holder's lease, the message, a read and a write, and the lifetime of orders.
+	const bound = leaseTime + 1500*time.Millisecond + orderLifetime
+	for seed := range uint64(50) {
+		w := newWorld(seed, (*Duty).Holds)
+		w.run(3 * leaseTime)
+		var holder *node
+		for _, n := range w.nodes {
+			if n.duty.Holds(w.now) {
+				holder = n
+			}
+		}
+		if holder == nil {
+			t.Fatalf("seed %d: no holder", seed)
+		}
+		holder.cutUntil = w.now.Add(time.Minute)
+		cutAt := w.now
+		for !w.otherMayOrder(holder) && w.now.Sub(cutAt) < 4*leaseTime {
+			w.run(10 * time.Millisecond)
+		}
+		if took := w.now.Sub(cutAt); took > bound {
+			t.Errorf("seed %d: taken over after %v, want at most %v", seed, took, bound)
+		}
+		if w.err != nil {
+			t.Errorf("seed %d: %v", seed, w.err)
+		}
+	}
+}
+
+func (w *world) otherMayOrder(holder *node) bool {
+	for _, n := range w.nodes {
+		if n != holder && n.duty.MayOrder(w.now) {
+			return true
+		}
+	}
+	return false
+}
+
 // TestDutyStateMachine runs sequences of faults that rapid generates and shrinks.
 func TestDutyStateMachine(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -4,7 +4,8 @@
 //
 // The key duties/<name> contains the holder and its fencing number. The holder renews
 // it by compare-and-swap; a candidate claims it with the next fencing number after
-// the key was released or has not changed for the lease time. The key is not bound to
+// the key was released or has not changed for the lease time, or after the holder stated that
+// it has given the duty up, which one that can't reach the service does. The key is not bound to
 // a lease of the key-value service, because the fencing number would be deleted with
 // it.
 //
@@ -92,6 +93,15 @@
 // Resign gives the duty up permanently.
 type Resign struct{}
 
+// GivenUp reports that an incarnation of another daemon no longer acts under a fencing number,
+// as that daemon stated itself. Its lease need not be waited for.
+type GivenUp struct {
+	Holder      string
+	Incarnation uint64
+	Fence       uint64
+}
+
+func (GivenUp) event()        {}
 func (Tick) event()           {}
 func (Committed) event()      {}
 func (CommitConflict) event() {}
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -464,6 +464,10 @@
 	// Whether the sender holds the lease of the duty.
 	Duty bool `json:"Duty,omitempty,omitzero"`
 
+	// Last fencing number under which the sender has performed the duty and no longer
+	// will; 0 means none.
+	DutyGivenUp uint64 `json:"DutyGivenUp,omitempty,omitzero"`
+
 	// Records of suspects that changed at the sender since its last status.
 	Evidence []SuspectRecord `json:"Evidence,omitempty,omitzero"`
 
