gateway: bound the statuses and rows that a daemon of a large place receives

Cause: with 49 daemons in a place each received 320 statuses a second, and the rows of 246 daemons eight times a second.

Change: daemons send statuses less often where more than 19 are in a place, so that each receives at most 120 a second, and a delegate forwards more than 100 rows in every second interval. Smaller places are as before. Peers count as alive for three intervals at least.

Test: TestStatusRate. Not measured on the large site yet.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -29,9 +29,10 @@
 	// expireInterval is the time between checks for lapsed registrations and silent
 	// peers.
 	expireInterval = 200 * time.Millisecond
-	// peerTimeout is how long a peer counts as alive after its last status. Statuses are
-	// sent several times a second.
-	peerTimeout = 1200 * time.Millisecond
+	// peerTimeout is how long a peer counts as alive after its last status, and at least
+	// missedStatuses intervals between statuses.
+	peerTimeout    = 1200 * time.Millisecond
+	missedStatuses = 3
 	// configurationResendDelay is how long after this daemon has adopted a configuration
 	// it sends it to peers whose status still shows an older one.
 	configurationResendDelay = 500 * time.Millisecond
@@ -430,8 +431,9 @@
 			delete(c.suspects, id)
 		}
 	}
+	timeout := max(peerTimeout, missedStatuses*statusInterval*time.Duration(c.g.view.Load().statusEvery(c.g.Place)))
 	for id, p := range c.peers {
-		if now.Sub(p.lastStatus) > peerTimeout {
+		if now.Sub(p.lastStatus) > timeout {
 			delete(c.peers, id)
 			c.changed = true
 			c.g.Log.Info("peer silent", "Peer", id, "Heard", p.lastStatus)
--- a/internal/gateway/rows.go
+++ b/internal/gateway/rows.go
@@ -19,6 +19,9 @@
 	// fullRowsEvery is the number of intervals between rows that include usage counts and
 	// demand, which only delegates need, and less often.
 	fullRowsEvery = 4
+	// manyRows is the number of rows of other places from which a delegate forwards them within
+	// its place in every second interval only. The other delegate of the place does so too.
+	manyRows = 100
 	// maxRowAge is the age from which a row is no longer forwarded.
 	maxRowAge = 3 * time.Second
 	// placesSilentAfter is quota.Limiter.SilentAfter where links are kept by place. A row
@@ -196,7 +199,11 @@
 		g.sendRows(ownPlaceRows, func(p message.Hello) bool { return p.Region != g.Region })
 		ownPlaceRows.Loads = []message.PlaceLoads{{Place: g.Place, Loads: encodeLoads(g.dispatcher.LoadsInPlace(now))}}
 		g.sendRows(ownPlaceRows, func(p message.Hello) bool { return p.Region == g.Region && p.Place != g.Place })
-		otherPlaceRows := encodeRows(now, quotaUseOnly(g.recentRows(now, false)))
+		others := g.recentRows(now, false)
+		if len(others) > manyRows && round%2 == 1 {
+			continue
+		}
+		otherPlaceRows := encodeRows(now, quotaUseOnly(others))
 		otherPlaceRows.Loads = g.otherPlaceLoads(now)
 		otherPlaceRows.Evidence = g.takeEvidenceNews(now, false)
 		g.sendRows(otherPlaceRows, func(p message.Hello) bool { return p.Place == g.Place })
--- a/internal/gateway/rows_test.go
+++ b/internal/gateway/rows_test.go
@@ -203,3 +203,21 @@
 		t.Errorf("%.0f tokens admitted in %v, %.0f allowed", admitted, window, allowed)
 	}
 }
+
+// TestStatusRate guards against statuses that take the processor time of the daemons of a large
+// place, and against fewer statuses in small ones.
+func TestStatusRate(t *testing.T) {
+	for _, daemons := range []int{1, 8, 16, 19, 49, 190} {
+		v := &View{ByPlace: true}
+		for range daemons {
+			v.Daemons = append(v.Daemons, Daemon{Place: "a"}, Daemon{Place: "b"})
+		}
+		every := v.statusEvery("a")
+		if rate := float64(daemons-1) / (time.Duration(every) * statusInterval).Seconds(); rate > 125 {
+			t.Errorf("%d daemons in a place: each receives %.0f statuses a second", daemons, rate)
+		}
+		if daemons <= 19 && every != 1 {
+			t.Errorf("%d daemons in a place: status in every interval %d", daemons, every)
+		}
+	}
+}
--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -315,8 +315,12 @@
 }
 
 const (
-	// statusInterval is how often this daemon sends its status to nearPeers.
+	// statusInterval is how often this daemon sends its status to nearPeers, unless there are
+	// many of them.
 	statusInterval = 150 * time.Millisecond
+	// peersPerStatusInterval is the number of nearPeers for each statusInterval between two
+	// statuses. A daemon then receives up to 120 of them a second, whatever the size of its place.
+	peersPerStatusInterval = 18
 	// farStatusEvery is the number of intervals between statuses to farPeers, which use
 	// them only to see that this daemon is alive and whether it holds the duty.
 	farStatusEvery = 2
@@ -332,13 +336,29 @@
 			return nil
 		case <-ticker.C:
 		}
-		g.broadcast(nearPeers)
+		if round%g.view.Load().statusEvery(g.Place) == 0 {
+			g.broadcast(nearPeers)
+		}
 		if round%farStatusEvery == 0 {
 			g.broadcast(farPeers)
 		}
 	}
 }
 
+// statusEvery returns the number of statusIntervals between two statuses to nearPeers.
+func (v *View) statusEvery(place string) int {
+	if !v.byPlace() {
+		return 1
+	}
+	near := 0
+	for _, d := range v.Daemons {
+		if d.Place == place {
+			near++
+		}
+	}
+	return 1 + max(near-2, 0)/peersPerStatusInterval
+}
+
 // broadcast sends the status of this daemon to the peers of a scope.
 func (g *Gateway) broadcast(scope statusScope) {
 	v := g.view.Load()
