gateway, lease: double the wait between failed calls to the store

Cause: every purpose (configuration and servers, registration, daemons, suspects, duty) retried each 0.2 to 0.4 s while the store was down or turned daemons away, at every daemon.

Change: the wait doubles up to 0.8 s for configuration and servers, 1.6 s for the registration and 2.4 s for watches; candidates of the duty up to half of the lease. A holder renews as before.

Test: TestBackoff.

--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -31,9 +31,15 @@
 	maxPollDelay = 600 * time.Millisecond
 	// pollCheckInterval is how often a daemon checks whether a read of the store is due.
 	pollCheckInterval = 50 * time.Millisecond
-	// storeRetryDelay is the least wait after a failed call to the store. The wait is
-	// random up to twice as long, so that the daemons do not retry at the same moment.
+	// storeRetryDelay is the wait after the first failed call to the store. It doubles with
+	// each further one, up to a bound for each purpose, and is random up to twice as long, so
+	// that the daemons do not retry at the same moment.
 	storeRetryDelay = 200 * time.Millisecond
+	// maxPollRetryDelay, maxRegistrationRetryDelay and maxWatchRetryDelay bound it. Changes
+	// have to take effect soon after an outage; peers notice a missing entry after seconds.
+	maxPollRetryDelay         = 800 * time.Millisecond
+	maxRegistrationRetryDelay = 1600 * time.Millisecond
+	maxWatchRetryDelay        = 2400 * time.Millisecond
 	// registrationLease is the lease time of this daemon's entry. It is long enough to
 	// survive a lost connection to the store.
 	registrationLease = 5 * time.Second
@@ -56,8 +62,22 @@
 	}
 }
 
-func sleepBeforeRetry(ctx context.Context) {
-	sleep(ctx, storeRetryDelay+rand.N(storeRetryDelay)) //nolint:gosec // Not for secrets.
+// backoff is the wait between failed calls to the store for one purpose.
+type backoff struct {
+	// Most bounds the wait, before the random part.
+	Most     time.Duration
+	failures int
+}
+
+// next returns the wait after a call, which is 0 unless it failed.
+func (b *backoff) next(err error) time.Duration {
+	if err == nil {
+		b.failures = 0
+		return 0
+	}
+	wait := min(storeRetryDelay<<min(b.failures, 10), b.Most)
+	b.failures++
+	return wait + rand.N(wait) //nolint:gosec // Not for secrets.
 }
 
 // dependency logs the loss and return of a service that this daemon depends on.
@@ -85,6 +105,7 @@
 // nothing while the store drops its history.
 func (g *Gateway) pollStore(ctx context.Context) error {
 	dep := dependency{g: g, name: "store"}
+	retry := backoff{Most: maxPollRetryDelay}
 	started := time.Now()
 	for ctx.Err() == nil {
 		if !time.Now().After(g.nextPoll(started)) {
@@ -96,8 +117,8 @@
 		if err != nil {
 			now := time.Now()
 			g.post(func(c *control) { c.fleet.NoteOutage(now) })
-			sleepBeforeRetry(ctx)
 		}
+		sleep(ctx, retry.next(err))
 	}
 	return nil
 }
@@ -205,6 +226,7 @@
 		return errors.Annotate(err, "encode registration")
 	}
 	lease := ""
+	retry := backoff{Most: maxRegistrationRetryDelay}
 	for ctx.Err() == nil {
 		var err error
 		if lease == "" {
@@ -215,11 +237,11 @@
 			continue
 		}
 		dep.noteResult(err)
-		if err != nil {
-			sleepBeforeRetry(ctx)
-			continue
+		wait := retry.next(err)
+		if err == nil {
+			wait = registrationLease / 3
 		}
-		sleep(ctx, registrationLease/3)
+		sleep(ctx, wait)
 	}
 	return nil
 }
@@ -271,6 +293,7 @@
 // they change, until the context ends.
 func (g *Gateway) watchPrefix(ctx context.Context, name, prefix string, apply func(entries []keyvalue.Entry, fullList bool)) {
 	dep := dependency{g: g, name: name}
+	retry := backoff{Most: maxWatchRetryDelay}
 	revision := int64(-1)
 	for ctx.Err() == nil {
 		var entries []keyvalue.Entry
@@ -283,12 +306,12 @@
 			entries, next, err = g.Store.Changes(ctx, prefix, revision, watchTimeout)
 		}
 		dep.noteResult(err)
-		if err != nil {
-			if errors.Is(err, keyvalue.ErrCompacted) {
-				revision = -1
-				continue
-			}
-			sleepBeforeRetry(ctx)
+		if errors.Is(err, keyvalue.ErrCompacted) {
+			revision = -1
+			continue
+		}
+		if wait := retry.next(err); err != nil {
+			sleep(ctx, wait)
 			continue
 		}
 		revision = next
--- a/internal/gateway/supply_test.go
+++ b/internal/gateway/supply_test.go
@@ -146,3 +146,28 @@
 		t.Errorf("got %+v", got)
 	}
 }
+
+// TestBackoff guards against a fleet that calls a failing store at a constant high rate, and
+// against one that notices its return late.
+func TestBackoff(t *testing.T) {
+	b := backoff{Most: maxWatchRetryDelay}
+	var waited time.Duration
+	calls := 0
+	for waited < 20*time.Second {
+		wait := b.next(keyvalue.ErrUnavailable)
+		if wait < storeRetryDelay || wait > 2*maxWatchRetryDelay {
+			t.Fatalf("wait %v", wait)
+		}
+		waited += wait
+		calls++
+	}
+	if calls > 12 {
+		t.Errorf("%d calls in %v", calls, waited)
+	}
+	if wait := b.next(nil); wait != 0 {
+		t.Errorf("wait %v after a success", wait)
+	}
+	if wait := b.next(keyvalue.ErrUnavailable); wait > 2*storeRetryDelay {
+		t.Errorf("wait %v after the first failure", wait)
+	}
+}
--- a/internal/lease/duty.go
+++ b/internal/lease/duty.go
@@ -47,7 +47,9 @@
 	unchangedSince time.Time
 	hasRead        bool
 	nextCall       time.Time
-	holding        bool
+	// failures is the number of failed calls in a row while the duty is not held.
+	failures int
+	holding  bool
 	// renewedAt is when the last successful renewal or claim was sent.
 	renewedAt time.Time
 	// previousLeaseEnd is the latest end of the lease of the previous holder.
@@ -158,8 +160,15 @@
 	return span*3/4 + time.Duration(d.config.Rand.Float64()*float64(span/4))
 }
 
+// scheduleRetry schedules the call after a failed one. A holder has to renew soon, while the
+// calls of many candidates would only load a service in trouble.
 func (d *Duty) scheduleRetry() {
-	d.nextCall = d.now.Add(d.withJitter(d.config.Lease / retriesPerLease))
+	wait := d.config.Lease / retriesPerLease
+	if !d.holding {
+		wait = min(wait<<min(d.failures, 10), d.config.Lease/pollsPerLease)
+		d.failures++
+	}
+	d.nextCall = d.now.Add(d.withJitter(wait))
 }
 
 // takeInFlight clears and returns the call in flight if it has this ID.
@@ -319,6 +328,7 @@
 		return
 	}
 	d.recordValue(v, ev.Entry.Revision)
+	d.failures = 0
 	if d.resigning {
 		return
 	}
