--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -22,7 +22,7 @@
 	case place == "":
 		c.sendLeaving(news, func(message.Hello) bool { return true })
 	case c.topology.ByPlace && c.topology.Delegate:
-		// Each place has heard of it from the daemon that sent it within the place.
+		// The daemon that got the answer has sent it to all daemons of its place.
 		c.sendLeaving(news, func(p message.Hello) bool { return (place == c.g.Place) != (p.Place == c.g.Place) })
 	}
 }
--- /dev/null
+++ b/internal/gateway/listing.go
@@ -0,0 +1,138 @@
+package gateway
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"apricotbridge/internal/fleet"
+	"apricotbridge/internal/keyvalue"
+	"apricotbridge/internal/message"
+)
+
+// registration decodes an entry of a server. An entry that makes the decoder panic is
+// unreadable, so that the others are followed.
+func (c *control) registration(e keyvalue.Entry) (r fleet.Registration) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			id := strings.TrimPrefix(e.Key, c.g.Keys.Servers)
+			r = fleet.Registration{ID: id, Revision: e.Revision, Unreadable: fmt.Sprint("decoder panicked: ", cause)}
+		}
+	}()
+	return c.g.Decoder.Registration(e)
+}
+
+// applyListing applies a complete list of server entries from the store and sends the
+// changes to all peers.
+func (c *control) applyListing(now time.Time, revision int64, entries []keyvalue.Entry) {
+	first := !c.serversListed
+	if first {
+		c.serversListed, c.changed = true, true
+	}
+	byID := make(map[string]keyvalue.Entry, len(entries))
+	list := make([]fleet.Registration, 0, len(entries))
+	clear(c.entries)
+	c.listRevision = revision
+	for _, e := range entries {
+		r := c.registration(e)
+		byID[r.ID] = e
+		list = append(list, r)
+		c.entries[e.Key] = storeEntry(e)
+	}
+	c.logUnreadable(list)
+	m := message.Listing{Revision: revision}
+	for _, change := range c.fleet.Replace(now, revision, list) {
+		c.serverChanged(now, change)
+		e, ok := byID[change.Member.ID]
+		if !ok {
+			e = keyvalue.Entry{Key: c.g.Keys.Servers + change.Member.ID, Revision: revision, Deleted: true}
+		}
+		m.Changes = append(m.Changes, storeEntry(e))
+	}
+	if first {
+		m.Changes = nil // Peers without a list are sent one by supply.
+	}
+	m.Hash = c.fleet.Hash()
+	if c.index != nil {
+		m.Version = c.index.Version
+	}
+	c.sendListing(m, func(peerState) bool { return true })
+}
+
+// logUnreadable logs the first registration that has become unreadable since the previous
+// listing, and how many there are. One line a listing bounds the volume.
+func (c *control) logUnreadable(list []fleet.Registration) {
+	unreadable := map[string]int64{}
+	var first *fleet.Registration
+	for i := range list {
+		r := &list[i]
+		if r.Unreadable == "" {
+			continue
+		}
+		unreadable[r.ID] = r.Revision
+		if first == nil && c.unreadable[r.ID] != r.Revision {
+			first = r
+		}
+	}
+	c.unreadable = unreadable
+	if first != nil {
+		c.g.Log.Info("registration not readable", "Server", first.ID, "Revision", first.Revision, "Error", first.Unreadable, "Unreadable", len(unreadable))
+	}
+}
+
+// sendListing sends a listing to the peers for which include returns true.
+func (c *control) sendListing(m message.Listing, include func(peerState) bool) {
+	data, err := message.Encode(message.KindListing, m)
+	if err != nil {
+		c.g.Log.Error(err, "listing not sent")
+		return
+	}
+	for id, p := range c.peers {
+		if !include(*p) {
+			continue
+		}
+		if err := c.g.hub.Send(id, message.KindListing, data); err != nil {
+			c.g.Log.V(1).Info("listing not sent", "Peer", id, "Error", err.Error())
+		}
+	}
+}
+
+// applyPeerListing applies the server changes that a peer read from the store. If this
+// daemon then has the same state as the peer, it need not read the store itself. A
+// delegate forwards listings of other places within its own place. A complete listing gives
+// a daemon its first list; if it has one, the entries are applied like changes.
+func (c *control) applyPeerListing(now time.Time, from message.Hello, m message.Listing) {
+	if m.Complete && !c.serversListed {
+		c.g.Log.Info("servers listed", "Source", from.Daemon, "Revision", m.Revision, "Servers", len(m.Changes))
+		c.serversListed, c.changed, c.listRevision = true, true, m.Revision
+	}
+	c.keepEntries(m.Changes)
+	for _, e := range m.Changes {
+		r := c.registration(keyvalue.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted})
+		if change, ok := c.fleet.Apply(now, r); ok {
+			c.serverChanged(now, change)
+		}
+	}
+	if c.topology.ByPlace && c.topology.Delegate && from.Place != c.g.Place && !m.Complete {
+		c.sendListing(m, func(p peerState) bool { return p.hello.Place == c.g.Place })
+	}
+	if c.serversListed && c.index != nil && c.index.Version >= m.Version && c.fleet.Hash() == m.Hash {
+		c.g.storeReadAt.Store(&now)
+	}
+}
+
+// keepEntries keeps the entries of servers for supply.
+func (c *control) keepEntries(entries []message.StoreEntry) {
+	for _, e := range entries {
+		if e.Deleted {
+			delete(c.entries, e.Key)
+		} else {
+			c.entries[e.Key] = e
+		}
+	}
+}
+
+// storeEntry converts an entry to its form in messages.
+func storeEntry(e keyvalue.Entry) message.StoreEntry {
+	return message.StoreEntry{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted}
+}
--- a/internal/gateway/supply.go
+++ b/internal/gateway/supply.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"apricotbridge/internal/keyvalue"
 	"apricotbridge/internal/message"
 )
 
@@ -11,8 +10,8 @@
 	// supplyInterval is the least time between two messages with the configuration and the
 	// servers to one peer.
 	supplyInterval = time.Second
-	// supplierDelay is how long after a peer was first heard only its nearest peers send it what
-	// it lacks. After that every daemon does.
+	// supplierDelay is how long after a peer's first status only its nearest peers send it what it
+	// lacks. After that every daemon does.
 	supplierDelay = time.Second
 	// suppliersPerPeer is the number of daemons of a region that send a peer what it lacks, where
 	// all daemons are linked.
@@ -85,22 +84,6 @@
 	return before < suppliersPerPeer
 }
 
-// keepEntries keeps the entries of servers for supply.
-func (c *control) keepEntries(entries []message.StoreEntry) {
-	for _, e := range entries {
-		if e.Deleted {
-			delete(c.entries, e.Key)
-		} else {
-			c.entries[e.Key] = e
-		}
-	}
-}
-
-// storeEntry converts an entry to its form in messages.
-func storeEntry(e keyvalue.Entry) message.StoreEntry {
-	return message.StoreEntry{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted}
-}
-
 // firstReadDelay returns how long after its start a daemon waits for what its peers know. The
 // first daemon of a region does not wait, nor does one without peers.
 func (v *View) firstReadDelay(self, region string) time.Duration {
