gateway: close the listener before the last connections of a drain

Cause: waited up to 200 ms for connections at the end of a drain, but the context had ended with the drain, so that the wait was a busy loop: the log has 'drain ended' at 7.002 s and nothing until 7.205 s, with the processor's quota used up. Meanwhile the listener took new connections, which nobody answered.

Change: the listener is closed first, the wait ends with its context, and Drain returns once the callers' connections are closed.

Test: TestRequestAtEndOfDrain also dials after the drain; that was accepted before.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -29,7 +29,8 @@
 
 // Drain takes the daemon out of service. Callers are given other addresses at once;
 // requests that still arrive are served while callers may have cached this address. It
-// returns when no request is in flight, or shortly before the end of the grace period.
+// returns when no request is in flight and the callers' connections are closed, or shortly
+// before the end of the grace period.
 func (g *Gateway) Drain(ctx context.Context) {
 	if g.draining.Swap(true) {
 		return
@@ -49,6 +50,10 @@
 	}
 	g.Log.Info("drain ended", "InFlight", g.inFlight.Load(), "Took", time.Since(started))
 	close(g.drained)
+	select {
+	case <-g.callersServed:
+	case <-ctx.Done():
+	}
 }
 
 // accepting reports whether a request that arrives at now is served.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -166,8 +166,11 @@
 
 	draining   atomic.Bool
 	drainStart atomic.Pointer[time.Time]
-	drained    chan struct{}
-	inFlight   atomic.Int64
+	// drained is closed when no request is in flight, and callersServed when the connections
+	// of callers are closed.
+	drained       chan struct{}
+	callersServed chan struct{}
+	inFlight      atomic.Int64
 }
 
 // maxServerBacklog is the longest queued prefill time with which a server still counts as
@@ -191,7 +194,7 @@
 	g.recordedSuspects = map[uint64]int64{}
 	g.evidenceNews = map[bool]map[quarantine.Fingerprint]bool{true: {}, false: {}}
 	g.rows, g.placeLoads = map[string]daemonRow{}, map[string]placeLoads{}
-	g.drained = make(chan struct{})
+	g.drained, g.callersServed = make(chan struct{}), make(chan struct{})
 	if g.Metrics == nil {
 		g.Metrics = metrics.NewRegistry()
 	}
--- a/internal/gateway/reports_test.go
+++ b/internal/gateway/reports_test.go
@@ -32,8 +32,7 @@
 	}()
 	time.Sleep(gw.Bounds.GracePeriod/2 - 100*time.Millisecond)
 	fmt.Fprint(c, "POST /safe/x HTTP/1.1\r\nHost: h.example\r\nX-Id: 1\r\nX-Key: key-one\r\n")
-	<-drained
-	time.Sleep(20 * time.Millisecond)
+	time.Sleep(150 * time.Millisecond) // No request is in flight, so that the drain has ended.
 	fmt.Fprint(c, "Content-Length: 0\r\n\r\n")
 	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
 	res, err := http.ReadResponse(bufio.NewReader(c), nil)
@@ -44,6 +43,15 @@
 	if res.StatusCode != http.StatusServiceUnavailable {
 		t.Errorf("status %d, want 503", res.StatusCode)
 	}
+	<-drained
+	if other, err := net.Dial("tcp", gw.CallerAddress); err == nil {
+		_ = other.Close()
+		t.Error("a connection is accepted after the drain")
+	}
+	if err := <-gw.ended; err != nil {
+		t.Errorf("the gateway ended with %v", err)
+	}
+	gw.ended <- nil
 }
 
 // TestTricklingStreamIsContinuedElsewhere guards against waiting for a stalled stream because
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -53,6 +53,7 @@
 
 // serveCallers accepts callers' connections and serves their requests.
 func (g *Gateway) serveCallers(ctx context.Context) error {
+	defer close(g.callersServed)
 	var open atomic.Int64 // Connections.
 	s := &http.Server{
 		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
@@ -75,16 +76,22 @@
 	case <-g.drained:
 		// A drain has already waited for the requests that it knew of. One may just arrive:
 		// http.Server.Shutdown would cut it off.
+		_ = g.CallerListener.Close()  // Serve returns the error.
 		s.SetKeepAlivesEnabled(false) // Closes the idle connections.
 		for until := time.Now().Add(lateRequestTime); open.Load() > 0 && time.Now().Before(until); {
-			sleep(ctx, drainPollInterval)
+			if !sleep(ctx, drainPollInterval) {
+				break
+			}
 		}
 	case <-ctx.Done():
 	}
 	err := s.Close()
-	if e := <-served; err == nil && !errors.Is(e, http.ErrServerClosed) {
+	if e := <-served; err == nil && !errors.Is(e, http.ErrServerClosed) && !errors.Is(e, net.ErrClosed) {
 		err = e
 	}
+	if errors.Is(err, net.ErrClosed) {
+		err = nil // The listener was closed above.
+	}
 	return errors.Annotate(err, "close callers' listener")
 }
 
