--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -431,3 +431,22 @@
 		})
 	}
 }
+
+func TestRequestRate(t *testing.T) {
+	for value, want := range map[string]RequestRate{
+		"":                  {},
+		"4":                 {Stated: true, PerSecond: 4},
+		" 0.25 ":            {Stated: true, PerSecond: 0.25},
+		"0":                 {Stated: true},
+		"-1":                {Unreadable: true},
+		"NaN":               {Unreadable: true},
+		"Inf":               {Unreadable: true},
+		"1e999":             {Unreadable: true},
+		"4 a second":        {Unreadable: true},
+		"9007199254740993.": {Stated: true, PerSecond: 9007199254740992},
+	} {
+		if got := requestRate(value); got != want {
+			t.Errorf("%q: got %+v, want %+v", value, got, want)
+		}
+	}
+}
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -91,6 +91,8 @@
 	// RetryAfter is how long an overloaded server (status 503) wants no requests of this
 	// client; 0 means not stated.
 	RetryAfter time.Duration
+	// RequestRate is what the server takes from all clients together.
+	RequestRate RequestRate
 
 	body io.ReadCloser
 	conn *conn
@@ -215,6 +217,7 @@
 		if head.StatusCode == http.StatusServiceUnavailable {
 			r.RetryAfter = retryAfter(head.Header)
 		}
+		r.RequestRate = requestRate(head.Header.Get(names.RequestRate))
 		r.Status, r.Header, r.body, r.ContentLength = head.StatusCode, head.Header, head.Body, head.ContentLength
 		r.CloseDelimited = head.ContentLength < 0 && len(head.TransferEncoding) == 0
 		r.Signed = head.Header.Get(names.Signature) != ""
@@ -242,6 +245,27 @@
 	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
 }
 
+// RequestRate is the number of requests that a server takes, as stated in a response.
+type RequestRate struct {
+	// Stated is set if the response names a rate that can be read.
+	Stated bool
+	// Unreadable is set if the response names something else instead.
+	Unreadable bool
+	PerSecond  float64
+}
+
+// requestRate reads the value of the header for the rate of requests; empty means not stated.
+func requestRate(value string) RequestRate {
+	if value == "" {
+		return RequestRate{}
+	}
+	rate, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+	if err != nil || !(rate >= 0) || math.IsInf(rate, 0) { // Also for NaN.
+		return RequestRate{Unreadable: true}
+	}
+	return RequestRate{Stated: true, PerSecond: rate}
+}
+
 // idleExpiry returns the time from which the server may close the idle connection.
 func idleExpiry(h http.Header) time.Time {
 	timeout := defaultIdleTimeout
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -52,6 +52,8 @@
 	NotRun string
 	// Leaving is "1" in the responses of a server that is leaving.
 	Leaving string
+	// RequestRate carries the number of requests a second that a server takes.
+	RequestRate string
 }
 
 // Pool manages the connections to all backend servers. Exported fields must be set
