--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -236,7 +236,7 @@
 
 func (protocol) Response(h http.Header) http.Header { return h }
 
-var testHeaderNames = backend.HeaderNames{Attempt: "X-Id", Signature: "X-Signature", NotRun: "X-Not-Run", Leaving: "X-Leaving"}
+var testHeaderNames = backend.HeaderNames{Attempt: "X-Id", Signature: "X-Signature", NotRun: "X-Not-Run", Leaving: "X-Leaving", RequestRate: "X-Rate"}
 
 // testEnv is a store with a configuration and registered servers.
 type testEnv struct {
