gateway, routing, dispatch: keep to the rate of requests that a server names

Cause: no daemon read the rate. The class of fault: an instruction of a server to all daemons that has no one to divide it. Looked for elsewhere: the pause that Retry-After asks for is meant for one daemon, the end of a server that leaves is passed on already.

Change: each daemon derives its share from the list of daemons (package allowance); where the rate is too low for a request from each now and then, a few daemons chosen by hash share it. A daemon that gets an answer passes the rate on to its peers, by the delegates to other places and to daemons that start. The router keeps a token bucket for each limited server, and the dispatcher refuses at once what the servers do not take until the deadline, with the time at which they do. A late answer without the rate does not lift it.

Ruled out: reports of what was sent, as for quotas. At 1 request a second they arrive after the requests that they should prevent.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -290,6 +290,10 @@
 	return len(q.Ranks) - 1
 }
 
+// CompareRanks returns a negative number if rank a is more urgent than rank b, a positive one
+// if it is less urgent, and 0 if they are the same.
+func (q *Queue) CompareRanks(a, b string) int { return q.rankIndexOf(a) - q.rankIndexOf(b) }
+
 // Offer queues a request or refuses it.
 func (q *Queue) Offer(now time.Time, r Request) Decision {
 	q.initialise()
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -136,6 +136,9 @@
 	d.table = t
 	d.Router.SetTable(t)
 	d.grantFreeSlots(now)
+	for _, service := range t.LimitedServices() {
+		d.refuseExcess(now, service)
+	}
 }
 
 // Submit queues a request or returns the problem with which it is refused.
@@ -156,7 +159,7 @@
 		d.counts.Refused++
 		return d.noServerProblem(w.Request.Service)
 	}
-	if p := d.pauseProblem(now, w); p != nil && decision.Queued {
+	if p := d.excessProblem(now, w); p != nil && decision.Queued {
 		d.Queue.Cancel(now, w.Request.ID)
 		d.counts.Refused++
 		return p
@@ -292,7 +295,7 @@
 		d.endWork(now, w, used)
 		return p
 	}
-	if p := d.pauseProblem(now, w); p != nil {
+	if p := d.excessProblem(now, w); p != nil {
 		d.endWork(now, w, used)
 		return w.refusalProblem(p)
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -239,9 +239,7 @@
 		g.dispatcher.PauseServer(now, now.Add(res.RetryAfter), server)
 		g.Log.Info("server wants no requests", logs.RequestID, s.call.ID, "Server", server.ID, "For", res.RetryAfter)
 	}
-	if res.RequestRate.Stated {
-		g.Log.Info("server limits requests", logs.RequestID, s.call.ID, "Server", server.ID, "PerSecond", res.RequestRate.PerSecond)
-	}
+	s.noteRate(server, now, res.RequestRate)
 	return s.handleAnswer(ctx, cancel, server, res)
 }
 
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 
 	"apricotbridge/internal/admission"
+	"apricotbridge/internal/allowance"
 	"apricotbridge/internal/fleet"
 	"apricotbridge/internal/message"
 	"apricotbridge/internal/quarantine"
@@ -63,6 +64,8 @@
 	ByPlace, Delegate bool
 	Delegates         map[string]bool
 	table             *routing.Table
+	// limited holds the servers that named the rate of requests that they take.
+	limited map[allowance.Incarnation]bool
 }
 
 // Configuration returns the configuration in force, or nil if there is none.
@@ -80,6 +83,7 @@
 	// adoptedAt is when the configuration came into force.
 	adoptedAt time.Time
 	fleet     *fleet.Set
+	rates     allowance.Set
 	suspects  map[string]*suspect
 	// unreadable holds the revisions of the registrations that can't be read.
 	unreadable map[string]int64
@@ -280,7 +284,9 @@
 		c.peers[from.Daemon] = p
 		c.changed = true
 		c.g.Log.Info("peer heard", "Peer", from.Daemon, "PeerPlace", from.Place)
-		c.sendLeaving(c.fleet.LeavingByAnswer(), func(p message.Hello) bool { return p.Daemon == from.Daemon })
+		toPeer := func(p message.Hello) bool { return p.Daemon == from.Daemon }
+		c.sendLeaving(c.fleet.LeavingByAnswer(), toPeer)
+		c.sendRates(c.rates.Statements(), toPeer)
 	}
 	if p.draining != s.Draining {
 		p.draining, c.changed = s.Draining, true
@@ -309,6 +315,9 @@
 	for _, change := range c.fleet.Expire(now) {
 		c.serverChanged(now, change)
 	}
+	if c.rates.Expire(now) {
+		c.changed = true
+	}
 	for id, s := range c.suspects {
 		if !now.Before(s.until) && now.Sub(s.until) < expireInterval {
 			c.changed = true // The next view no longer marks the server as suspect.
@@ -331,16 +340,23 @@
 func (c *control) publish(now time.Time) {
 	c.changed = false
 	v := &View{index: c.index, Members: map[string]fleet.Member{}}
+	v.Daemons, v.daemonsListed = c.daemonList(), c.daemonsListed
+	v.limited = c.rates.Incarnations()
+	daemons := make([]string, len(v.Daemons))
+	for i, d := range v.Daemons {
+		daemons[i] = d.ID
+	}
 	var servers []routing.Server
 	for _, m := range c.fleet.Members() {
 		v.Members[m.ID] = m
-		servers = append(servers, c.routingServer(now, m))
+		s := c.routingServer(now, m)
+		s.RateLimit = c.rateLimit(allowance.Incarnation{Server: m.ID, Start: m.Incarnation}, daemons)
+		servers = append(servers, s)
 	}
 	if !c.serversListed {
 		v.Members = nil
 	}
 	v.table = routing.NewTable(servers, c.regionLinks())
-	v.Daemons, v.daemonsListed = c.daemonList(), c.daemonsListed
 	v.ByPlace, v.Delegate, v.Delegates = c.topology.ByPlace, c.topology.Delegate, c.topology.Delegates
 	c.g.view.Store(v)
 	c.g.dispatcher.SetTable(now, v.table)
--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -18,13 +18,7 @@
 			news = append(news, i)
 		}
 	}
-	switch {
-	case place == "":
-		c.sendLeaving(news, func(message.Hello) bool { return true })
-	case c.topology.ByPlace && c.topology.Delegate:
-		// The daemon that got the answer has sent it to all daemons of its place.
-		c.sendLeaving(news, func(p message.Hello) bool { return (place == c.g.Place) != (p.Place == c.g.Place) })
-	}
+	c.sendLeaving(news, c.onward(place))
 }
 
 // sendLeaving sends leaving servers to the linked peers for which include returns true.
--- a/internal/gateway/rate_test.go
+++ b/internal/gateway/rate_test.go
@@ -1,10 +1,18 @@
 package gateway
 
 import (
+	"math"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"apricotbridge/internal/allowance"
+	"apricotbridge/internal/message"
+	"apricotbridge/internal/routing"
 )
 
 // arrivals records when requests reached a server.
@@ -98,3 +106,83 @@
 		t.Errorf("answers by status: %v, want 200 only", statuses)
 	}
 }
+
+// limitOf returns the rate that a daemon keeps to at a server.
+func (gw *testGateway) limitOf(server string) routing.RateLimit {
+	s, _ := gw.view.Load().table.Server(server)
+	return s.RateLimit
+}
+
+// TestRatesPassBetweenPlaces guards against daemons of other places that exceed a server's rate
+// because they have had no answer of it, and against keeping to a rate that is over.
+func TestRatesPassBetweenPlaces(t *testing.T) {
+	env := newTestEnv(t)
+	var limited atomic.Bool
+	limited.Store(true)
+	env.addServer("s1", "plain", func(w http.ResponseWriter, r *http.Request) {
+		if limited.Load() {
+			w.Header().Set("X-Rate", "6")
+		}
+		signedAnswer("ok")(w, r)
+	})
+	gateways := startInPlaces(env)
+	ask := func() {
+		for _, gw := range gateways {
+			gw.send(t.Context(), http.MethodPost, "/safe/x")
+		}
+	}
+	gateways["b-2"].send(t.Context(), http.MethodPost, "/safe/x")
+	total := 0.0
+	for id, gw := range gateways {
+		waitFor(t, id+" keeps to the rate", func() bool { return gw.limitOf("s1").Limited })
+		total += gw.limitOf("s1").PerSecond
+	}
+	if total < 5.9 || total > 6.1 {
+		t.Errorf("shares of %v in all, want 6", total)
+	}
+	limited.Store(false)
+	for id, gw := range gateways {
+		waitFor(t, id+" uses the server freely", func() bool {
+			ask()
+			return !gw.limitOf("s1").Limited
+		})
+	}
+}
+
+// TestDaemonThatStartsLearnsRates guards against a daemon that starts and has not heard of them.
+func TestDaemonThatStartsLearnsRates(t *testing.T) {
+	env := newTestEnv(t)
+	env.addServer("s1", "plain", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Rate", "2")
+		signedAnswer("ok")(w, r)
+	})
+	first := env.startReady("g1")
+	if got := first.send(t.Context(), http.MethodPost, "/safe/x"); got.status != http.StatusOK {
+		t.Fatalf("got %+v", got)
+	}
+	second := env.startReady("g2")
+	waitFor(t, "the second daemon keeps to the rate", func() bool {
+		return first.limitOf("s1").PerSecond == 1 && second.limitOf("s1").PerSecond == 1
+	})
+}
+
+// TestOddRates guards against values of a peer that exclude a server or never expire.
+func TestOddRates(t *testing.T) {
+	now := time.Now()
+	rate := func(v float64) *float64 { return &v }
+	m := message.Rates{Servers: []message.ServerRate{
+		{Server: "a", PerSecond: rate(math.NaN())},
+		{Server: "b", PerSecond: rate(math.Inf(1))},
+		{Server: "c", PerSecond: rate(-1)},
+		{Server: "d", PerSecond: rate(2), Age: -1 << 62, SentAge: 1 << 62},
+		{Server: "e", Age: 5, SentAge: 7},
+	}}
+	got := decodeRates(now, m)
+	want := []allowance.Statement{
+		{Incarnation: allowance.Incarnation{Server: "d"}, Limited: true, PerSecond: 2, SentAt: now.Add(-allowance.Memory), At: now},
+		{Incarnation: allowance.Incarnation{Server: "e"}, SentAt: now.Add(-7 * time.Millisecond), At: now.Add(-5 * time.Millisecond)},
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+}
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -77,6 +77,13 @@
 			return
 		}
 		g.post(func(c *control) { c.noteLeaving(now, from.Place, decodeLeaving(m)) })
+	case message.KindRates:
+		m, err := message.Decode[message.Rates](e)
+		if err != nil {
+			g.Log.Info("rates of servers not readable", "Peer", from.Daemon, "Error", err.Error())
+			return
+		}
+		g.post(func(c *control) { c.noteRates(from, decodeRates(now, m)) })
 	case message.KindListing:
 		m, err := message.Decode[message.Listing](e)
 		if err != nil {
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -296,6 +296,7 @@
 const KindListing Kind = "Listing"
 const KindMembers Kind = "Members"
 const KindQuarantine Kind = "Quarantine"
+const KindRates Kind = "Rates"
 const KindRows Kind = "Rows"
 const KindStatus Kind = "Status"
 const KindUsage Kind = "Usage"
@@ -387,6 +388,13 @@
 	Suspects []Suspect `json:"Suspects"`
 }
 
+// Rates lists servers that named in an answer the rate of requests that they take,
+// or no longer named it.
+type Rates struct {
+	// Servers with their rates.
+	Servers []ServerRate `json:"Servers"`
+}
+
 // Rows carries the rows of several daemons. Lists by organisation are in the order
 // of Organisations, so that each name is sent only once.
 type Rows struct {
@@ -434,6 +442,25 @@
 	Servers []string `json:"Servers"`
 }
 
+// ServerRate is what one answer of a server says about the requests that it takes.
+type ServerRate struct {
+	// Milliseconds since the answer arrived.
+	Age int64 `json:"Age"`
+
+	// Start time of the server in Unix milliseconds.
+	Incarnation int64 `json:"Incarnation"`
+
+	// Requests a second from all daemons together; absent if the answer named no
+	// rate.
+	PerSecond *float64 `json:"PerSecond,omitempty,omitzero"`
+
+	// Milliseconds since the request was sent.
+	SentAge int64 `json:"SentAge"`
+
+	// Id of the server.
+	Server string `json:"Server"`
+}
+
 // ServiceDemand is the rate of tokens that callers request from one service at one
 // daemon.
 type ServiceDemand struct {
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -79,6 +79,8 @@
 	Unhealthy    int
 	// Paused counts servers that asked for a pause.
 	Paused int
+	// Limited counts servers that have got all calls that their rate allows this daemon.
+	Limited int
 	// Reserved counts servers that run a call with Alone.
 	Reserved int
 	// Busy counts servers that run requests and were rejected for a call with Alone.
--- a/internal/routing/capacity.go
+++ b/internal/routing/capacity.go
@@ -34,40 +34,15 @@
 	free := 0
 	for _, i := range t.services[service] {
 		s, st := &t.servers[i], r.tableStates[i]
-		if !s.Accepting || s.Suspect || st.reserved || now.Before(st.pausedUntil) || !r.backlogWithinLimit(now, st) {
+		if !s.Accepting || s.Suspect || st.reserved || !st.takesCalls(now) || !r.backlogWithinLimit(now, st) {
 			continue
 		}
 		const half = 0.5
-		free += max(0, int(st.slots-r.load(now, st)+half))
+		free += max(0, int(min(st.slots-r.load(now, st)+half, st.bucket.available(now)+1-oneToken)))
 	}
 	return free
 }
 
-// Pause excludes one incarnation of a server from new calls until a time. A pause in force is
-// not shortened.
-func (r *Router) Pause(until time.Time, server string, incarnation int64) {
-	if st := r.states[server]; st != nil && st.incarnation == incarnation && until.After(st.pausedUntil) {
-		st.pausedUntil = until
-	}
-}
-
-// AllPausedUntil returns the earliest end of the pauses of the accepting servers of a service.
-// ok means that there are such servers and all of them are paused.
-func (r *Router) AllPausedUntil(now time.Time, t *Table, service string) (until time.Time, ok bool) {
-	r.syncTable(t)
-	for _, i := range t.services[service] {
-		st := r.tableStates[i]
-		switch {
-		case !t.servers[i].Accepting:
-		case !now.Before(st.pausedUntil):
-			return time.Time{}, false
-		case until.IsZero() || st.pausedUntil.Before(until):
-			until = st.pausedUntil
-		}
-	}
-	return until, !until.IsZero()
-}
-
 // Servers returns the servers of a service.
 func (t *Table) Servers(service string) []Server {
 	found := make([]Server, 0, len(t.services[service]))
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -67,6 +67,7 @@
 	health   health
 	// pausedUntil is when the server takes calls of this daemon again.
 	pausedUntil time.Time
+	bucket      tokenBucket
 	// cacheAccuracy is the share of the tokens believed cached that the engine confirms.
 	cacheAccuracy float64
 	// cacheTokens is the size of the prefix cache; tokensEntered counts the tokens added
@@ -175,6 +176,7 @@
 	for i := range t.servers {
 		s := &t.servers[i]
 		r.tableStates[i] = r.stateOf(s)
+		r.tableStates[i].bucket.setLimit(s.RateLimit)
 		r.regionOfServer[s.ID] = s.Region
 		if !seenPlaces[s.Place] {
 			seenPlaces[s.Place] = true
@@ -239,6 +241,7 @@
 	}
 	expected := r.waitSeconds(now, st, r.load(now, st)) + prefillSeconds(st.prefillRate, uncached)
 	st.inFlight++
+	st.bucket.take(now)
 	st.pendingTokens += uncached
 	if call.Alone {
 		st.reserved = true
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -60,6 +60,8 @@
 		rejected.Suspect++
 	case sc.now.Before(st.pausedUntil):
 		rejected.Paused++
+	case st.bucket.available(sc.now) < oneToken:
+		rejected.Limited++
 	case st.reserved:
 		rejected.Reserved++
 	case len(sc.call.Excluded) > 0 && slices.Contains(sc.call.Excluded, s.ID):
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -29,6 +30,8 @@
 	Accepting bool
 	// Suspect marks a server with recent connection failures.
 	Suspect bool
+	// RateLimit is this daemon's share of the rate of calls that the server takes.
+	RateLimit RateLimit
 }
 
 // Link connects two regions in both directions.
@@ -47,6 +50,8 @@
 	hashes   []uint64
 	byID     map[string]int
 	services map[string][]int
+	// limitedServices lists the services with a server that has a RateLimit.
+	limitedServices []string
 	// serversByRegion lists the servers of each service in each region.
 	serversByRegion map[serviceRegion][]int
 	// regionNumbers numbers the regions, serverRegions holds the number of each server's
@@ -77,6 +82,9 @@
 		key := serviceRegion{s.Service, s.Region}
 		t.serversByRegion[key] = append(t.serversByRegion[key], i)
 		t.serverRegions[i] = t.addRegion(s.Region)
+		if s.RateLimit.Limited && !slices.Contains(t.limitedServices, s.Service) {
+			t.limitedServices = append(t.limitedServices, s.Service)
+		}
 	}
 	for _, l := range links {
 		t.addRegion(l.From)
