platform, keyvalue, gateway: read and log the era of the store

The client of the store reads the era that all answers state; entries carry it, a line says when it changes and store_era shows it. Nothing acts on it yet.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -48,6 +48,8 @@
 	Delete(ctx context.Context, key string, revision int64) error
 	Lease(ctx context.Context, ttl time.Duration) (string, error)
 	Renew(ctx context.Context, lease string) error
+	// Era returns how often the store has come back from a copy, as of the latest answer.
+	Era() int64
 }
 
 // Decoder decodes entries of the store that the platform or its servers wrote.
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -35,6 +35,8 @@
 	entries  map[string]keyvalue.Entry
 	revision int64
 	leases   int64
+	// era is the number of restores.
+	era int64
 	// unavailable makes every call fail.
 	unavailable bool
 	// watchesSilent makes Changes return nothing.
@@ -170,6 +172,12 @@
 
 func (s *store) Renew(context.Context, string) error { return nil }
 
+func (s *store) Era() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // decoder decodes the gateway's own types from JSON.
 type decoder struct{}
 
--- a/internal/gateway/measures.go
+++ b/internal/gateway/measures.go
@@ -82,6 +82,7 @@
 	value("dispatch.refused", status.Counts.Refused)
 	value("dispatch.parked", status.Parked)
 	value("dispatch.retries.left", status.RetriesLeft)
+	value("store.era", g.Store.Era())
 	value("quarantine.suspects", status.Suspects)
 	value("quarantine.refused", status.RefusedSuspects)
 	if c := g.view.Load().Configuration(); c != nil {
--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -107,7 +107,14 @@
 	dep := dependency{g: g, name: "store"}
 	retry := backoff{Most: maxPollRetryDelay}
 	started := time.Now()
+	era := int64(0)
 	for ctx.Err() == nil {
+		if before := era; before != g.Store.Era() {
+			era = g.Store.Era()
+			if before > 0 {
+				g.Log.Info("store restored", "Era", era, "Before", before)
+			}
+		}
 		if !time.Now().After(g.nextPoll(started)) {
 			sleep(ctx, pollCheckInterval)
 			continue
--- a/internal/keyvalue/keyvalue.go
+++ b/internal/keyvalue/keyvalue.go
@@ -23,6 +23,9 @@
 	Lease string `json:"Lease,omitempty"`
 	// Deleted is set in the entries of a watch when the key was deleted.
 	Deleted bool `json:"Deleted,omitempty"`
+	// Era is the number of times that the service had come back from a copy when it returned
+	// the entry, where it states that. Revisions are given out again in a later era.
+	Era int64 `json:"-"`
 }
 
 // Errors of a Client. With each of them except ErrOutcomeUnknown, the call had no effect.
