--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -48,7 +49,7 @@
 }
 
 func newStore() *store {
-	return &store{entries: map[string]keyvalue.Entry{}, changed: make(chan struct{})}
+	return &store{entries: map[string]keyvalue.Entry{}, era: 1, changed: make(chan struct{})}
 }
 
 func (s *store) set(key string, value any) {
@@ -79,6 +80,28 @@
 	s.entries[key] = e
 }
 
+// copied is the content of a store at a time.
+type copied struct {
+	entries  map[string]keyvalue.Entry
+	revision int64
+}
+
+func (s *store) copy() copied {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return copied{maps.Clone(s.entries), s.revision}
+}
+
+// restore brings the store back from a copy, in a new era.
+func (s *store) restore(c copied) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.entries, s.revision = maps.Clone(c.entries), c.revision
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // setFailures sets unavailable and watchesSilent.
 func (s *store) setFailures(unavailable, watchesSilent bool) {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/gateway/restore_test.go
@@ -0,0 +1,151 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"apricotbridge/internal/accounting"
+)
+
+// recordedReports is a Reporter that keeps the first report of each window.
+type recordedReports struct {
+	mu      sync.Mutex
+	windows map[accounting.Window]map[string]int64
+	latest  accounting.Window
+	errs    []error
+}
+
+func (r *recordedReports) Report(_ context.Context, h Holder, report Report) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	first, known := r.windows[report.Window]
+	if diff := cmp.Diff(first, report.Requests); known && diff != "" {
+		r.errs = append(r.errs, fmt.Errorf("window %d is reported again by %s with other counts (-first +now):\n%s", report.Window, h.Daemon, diff))
+	}
+	if !known {
+		r.windows[report.Window] = report.Requests
+	}
+	r.latest = max(r.latest, report.Window)
+	return nil
+}
+
+// withRequests returns the latest reported window and whether requests ran in it.
+func (r *recordedReports) withRequests() (accounting.Window, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.latest, len(r.windows[r.latest]) > 0
+}
+
+// TestWindowsAreReportedOnceAcrossARestore guards against reporting the usage of a window again,
+// with other counts, when the store has lost the record of the report.
+func TestWindowsAreReportedOnceAcrossARestore(t *testing.T) {
+	env := newTestEnv(t)
+	reports := &recordedReports{windows: map[accounting.Window]map[string]int64{}}
+	env.reporter = reports
+	env.addServer("s1", "plain", signedAnswer("ok"))
+	first := env.startReady("g1")
+	stop := press(t, 50*time.Millisecond, "/safe/x", first)
+	waitForReport := func(after accounting.Window) accounting.Window {
+		var latest accounting.Window
+		waitFor(t, "a later window with requests is reported", func() bool {
+			var ok bool
+			latest, ok = reports.withRequests()
+			return ok && latest > after
+		})
+		return latest
+	}
+	earlier := waitForReport(0)
+	before := env.store.copy()
+	reported := waitForReport(earlier + 1)
+	stop()
+	first.cancel()
+	err := <-first.ended
+	first.ended <- err
+	env.store.restore(before)
+	second := env.startReady("g2")
+	stop = press(t, 50*time.Millisecond, "/safe/x", second)
+	waitForReport(reported)
+	stop()
+	for _, err := range reports.errs {
+		t.Error(err)
+	}
+}
+
+// TestServersAreFollowedAfterARestore guards against taking what servers write after a restore for
+// old, because its revision is lower than that of what they wrote before.
+func TestServersAreFollowedAfterARestore(t *testing.T) {
+	env := newTestEnv(t)
+	s1 := env.addServer("s1", "plain", signedAnswer("ok"))
+	s2 := env.addServer("s2", "plain", signedAnswer("ok"))
+	before := env.store.copy()
+	for i := range 50 { // Revisions that will be given out again.
+		env.store.set("other", i)
+	}
+	env.register(s1, "plain", false)
+	env.register(s2, "plain", false)
+	gateways := []*testGateway{env.startReady("g1"), env.startReady("g2")}
+	for _, gw := range gateways {
+		waitFor(t, "the servers are known", func() bool { return gw.accepting("s1") && gw.accepting("s2") })
+	}
+	env.store.restore(before)
+	env.register(s1, "plain", true)
+	env.store.remove("servers/s2")
+	env.addServer("s3", "plain", signedAnswer("ok"))
+	for _, gw := range gateways {
+		waitFor(t, "the new server is used", func() bool { return gw.accepting("s3") })
+		waitFor(t, "the leaving server is left alone", func() bool { return !gw.accepting("s1") })
+		waitFor(t, "the removed server is gone", func() bool { return !gw.accepting("s2") })
+		if got := gw.send(t.Context(), http.MethodPost, "/safe/x"); got.status != http.StatusOK {
+			t.Errorf("got %+v", got)
+		}
+	}
+}
+
+// TestServersMissingFromACopyAreKept guards against giving up servers that registered after the
+// copy was made and have not written their entries again yet.
+func TestServersMissingFromACopyAreKept(t *testing.T) {
+	env := newTestEnv(t)
+	env.addServer("s1", "plain", signedAnswer("ok"))
+	before := env.store.copy()
+	s2 := env.addServer("s2", "plain", signedAnswer("ok"))
+	gw := env.startReady("g1")
+	waitFor(t, "both servers are known", func() bool { return gw.accepting("s1") && gw.accepting("s2") })
+	env.store.restore(before)
+	for until := time.Now().Add(1500 * time.Millisecond); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
+		if !gw.accepting("s2") {
+			t.Fatal("the server is given up before it can have written its entry again")
+		}
+	}
+	env.register(s2, "plain", false)
+	for until := time.Now().Add(3 * time.Second); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
+		if !gw.accepting("s2") {
+			t.Fatal("the server is given up although it has written its entry again")
+		}
+	}
+}
+
+// TestDaemonRegistersAgainAfterARestore guards against a daemon whose entry the store has lost,
+// and whose lease it has given to another.
+func TestDaemonRegistersAgainAfterARestore(t *testing.T) {
+	env := newTestEnv(t)
+	first := env.startReady("g1")
+	before := env.store.copy()
+	second := env.startReady("g2")
+	linked := func(gw *testGateway) bool { return len(gw.view.Load().Daemons) == 2 }
+	waitFor(t, "the daemons know each other", func() bool { return linked(first) && linked(second) })
+	env.store.restore(before)
+	waitFor(t, "the entry is back", func() bool {
+		c := env.store.copy()
+		e, ok := c.entries[daemonPrefix+"g2"]
+		return ok && !e.Deleted
+	})
+	third := env.startReady("g3")
+	waitFor(t, "a daemon that starts finds the others", func() bool { return len(third.view.Load().Daemons) == 3 })
+	waitFor(t, "the others find it", func() bool { return len(first.view.Load().Daemons) == 3 && len(second.view.Load().Daemons) == 3 })
+}
--- a/internal/lease/duty_test.go
+++ b/internal/lease/duty_test.go
@@ -33,11 +33,14 @@
 
 // world simulates several nodes that compete for one duty, in simulated time.
 type world struct {
-	rng                *rand.Rand
-	now                time.Time
-	queue              []scheduledCall
-	nodes              []*node
-	entry              keyvalue.Entry
+	rng   *rand.Rand
+	now   time.Time
+	queue []scheduledCall
+	nodes []*node
+	entry keyvalue.Entry
+	// copies holds the entry as of each 100 ms, and era the number of restores.
+	copies             []keyvalue.Entry
+	era                int64
 	downUntil          time.Time
 	slowUntil          time.Time
 	losingUntil        time.Time
@@ -96,7 +99,23 @@
 			w.step(n, n.duty, Tick{})
 		}
 		w.check()
+		if w.now.UnixMilli()%100 == 0 {
+			w.copies = append(w.copies, w.entry)
+		}
+	}
+}
+
+// restore brings the service back from a copy that is up to 12 s old, after it was away.
+func (w *world) restore() {
+	const copiesPerSecond = 10
+	if len(w.copies) == 0 {
+		return
 	}
+	age := min(w.rng.IntN(12*copiesPerSecond), len(w.copies)-1)
+	w.copies = w.copies[:len(w.copies)-age]
+	w.entry = w.copies[len(w.copies)-1]
+	w.era++
+	w.downUntil = w.now.Add(w.ms(0, 2500))
 }
 
 func (w *world) step(n *node, d *Duty, ev Event) {
@@ -219,10 +238,19 @@
 	}
 }
 
+// faultsAndRestores are the faults, of which one in five is a restore.
+func (w *world) faultsAndRestores() []func() {
+	return append(w.faults(), w.restore, w.restore)
+}
+
 func runSchedule(seed uint64, holds func(*Duty, time.Time) bool) *world {
-	w := newWorld(seed, holds)
+	return runFaults(newWorld(seed, holds), (*world).faults)
+}
+
+// runFaults runs 20 random faults and then a time without any.
+func runFaults(w *world, faults func(*world) []func()) *world {
 	for range 20 {
-		f := w.faults()
+		f := faults(w)
 		f[w.rng.IntN(len(f))]()
 		w.run(w.ms(100, 3000))
 	}
@@ -259,6 +287,24 @@
 	t.Logf("seeds 0 to %d: %d acquisitions", seeds-1, acquired)
 }
 
+// TestDutyAcrossRestores guards against two holders at a time, a reused fencing number and orders
+// of two holders in force at the same time when the service comes back from a copy.
+func TestDutyAcrossRestores(t *testing.T) {
+	const seeds = 200
+	restores, acquired := int64(0), 0
+	for seed := range uint64(seeds) {
+		w := newWorld(seed, (*Duty).Holds)
+		w.run(2 * leaseTime) // The oldest copy has a holder.
+		runFaults(w, (*world).faultsAndRestores)
+		restores += w.era
+		acquired += w.acquired
+		if w.err != nil {
+			t.Errorf("seed %d: %v", seed, w.err)
+		}
+	}
+	t.Logf("seeds 0 to %d: %d restores, %d acquisitions", seeds-1, restores, acquired)
+}
+
 // TestDutyOfDisconnectedHolderIsTakenOver guards against a duty that nobody performs for long
 // after its holder has lost the service, although that holder says so, and against one that
 // comes back to it while the next holder acts.
