lease, gateway: fencing numbers rise across restores of the store

Cause: the fencing number follows from the entry of the duty alone, which goes back with the store; a candidate took a restored entry for one that had not changed since it last read it. The class of fault: state derived from a store that was assumed never to lose what it has acknowledged.

Change: a duty learns the era of the store before the result of the call that showed it. In a new era it drops the call in flight, reads the entry again, and claims only after a lease, counting from when it learned of the era; the fencing numbers of an era begin above those of all earlier ones. A holder whose entry came back as its own goes on, any other stops at once. A daemon that starts and finds an entry of an earlier era waits as well.

Ruled out: passing the highest fencing number on between daemons, which is lost if all of them end around the restore.

--- a/internal/gateway/duty.go
+++ b/internal/gateway/duty.go
@@ -109,8 +109,11 @@
 	reportedLoaded bool
 	reportSent     bool
 	// resigned means that the daemon has given the duty up, at resignedAt.
-	resigned   bool
-	resignedAt time.Time
+	resigned    bool
+	resignedAt  time.Time
+	eraAtResign int64
+	// era is the latest era of the store that the duty has been told.
+	era int64
 	// peerGaveUp is the last value of Gateway.peerGaveUpDuty that was applied.
 	peerGaveUp *lease.GivenUp
 	plans      map[string]*scaling.Plan
@@ -154,7 +157,9 @@
 			s.resign(ctx, time.Now())
 		case eligible && s.resigned && time.Since(s.resignedAt) > g.Bounds.Lease:
 			s.duty, s.resigned = g.newDuty(), false // Resigning is permanent.
+			s.performActions(ctx, s.duty.Step(bootClockNow(), lease.Restored{Era: s.eraAtResign}))
 		}
+		s.performActions(ctx, s.noteEra())
 		s.applyGivenUp(ctx, time.Now())
 		g.holdsDuty.Store(s.duty.Holds(bootClockNow()))
 		if !eligible {
@@ -222,7 +227,14 @@
 // resign gives the duty up for the time of a lease at least.
 func (s *dutyState) resign(ctx context.Context, now time.Time) {
 	s.performActions(ctx, s.duty.Step(bootClockNow(), lease.Resign{}))
-	s.resigned, s.resignedAt = true, now
+	s.resigned, s.resignedAt, s.eraAtResign = true, now, s.era
+}
+
+// noteEra tells the duty the era of the store, which has to precede the result of the call
+// that showed it.
+func (s *dutyState) noteEra() []lease.Action {
+	s.era = s.g.Store.Era()
+	return s.duty.Step(bootClockNow(), lease.Restored{Era: s.era})
 }
 
 // performActions executes the actions of the lease's state machine.
@@ -232,9 +244,13 @@
 		for _, a := range actions {
 			switch a := a.(type) {
 			case lease.Write:
-				next = append(next, s.duty.Step(bootClockNow(), s.writeEntry(ctx, a))...)
+				result := s.writeEntry(ctx, a)
+				next = append(next, s.noteEra()...)
+				next = append(next, s.duty.Step(bootClockNow(), result)...)
 			case lease.Read:
-				next = append(next, s.duty.Step(bootClockNow(), s.readEntry(ctx, a))...)
+				result := s.readEntry(ctx, a)
+				next = append(next, s.noteEra()...)
+				next = append(next, s.duty.Step(bootClockNow(), result)...)
 			case lease.Acquired:
 				s.reportedLoaded = false
 				clear(s.ordered)
--- a/internal/lease/duty.go
+++ b/internal/lease/duty.go
@@ -19,6 +19,10 @@
 	pollsPerLease = 2
 	// retriesPerLease is how often within a lease a failed call is repeated.
 	retriesPerLease = 15
+	// fencesPerEra is the distance between the first fencing numbers of two eras of the
+	// service. A copy has an older fencing number than the one last given out, and nothing
+	// says by how much.
+	fencesPerEra = 1 << 20
 )
 
 // call is a call to the key-value service. A Duty has at most one in flight.
@@ -62,6 +66,13 @@
 	othersGivenUp GivenUp
 	givenUp       uint64
 	givenUpAt     time.Time
+	// era is the latest era of the service; 0 means not known.
+	era int64
+	// claimFrom is when the lease of a holder has ended that a restored entry does not name.
+	claimFrom time.Time
+	// unconfirmed means that the holder has not read the entry since the service came back
+	// from a copy.
+	unconfirmed bool
 }
 
 // New returns a Duty that is not held.
@@ -115,6 +126,8 @@
 		d.othersGivenUp = ev
 		// The candidates do not call at the same moment.
 		d.nextCall = now.Add(d.withJitter(d.config.Lease / retriesPerLease))
+	case Restored:
+		d.noteEra(ev.Era)
 	case Resign:
 		if d.holding && !d.resigning {
 			d.noteGivenUp()
@@ -189,6 +202,25 @@
 	return v.Holder != "" && d.othersGivenUp == GivenUp{v.Holder, v.Incarnation, v.Fence}
 }
 
+// noteEra records an era of the service. In a new one, neither the revision that was read nor
+// the result of the call in flight says anything about the entry.
+func (d *Duty) noteEra(era int64) {
+	if era <= d.era {
+		return
+	}
+	restored := d.era > 0
+	d.era = era
+	if restored {
+		d.claimFrom = d.now.Add(d.config.Lease)
+		d.inFlight, d.hasRead, d.unconfirmed, d.nextCall = nil, false, d.holding, d.now
+	}
+}
+
+// firstFence returns the lowest fencing number that no holder of an earlier era has had.
+func (d *Duty) firstFence() uint64 {
+	return uint64(d.era)*fencesPerEra + 1 //nolint:gosec // Eras are not negative.
+}
+
 func (d *Duty) loseDuty(reason string) {
 	d.noteGivenUp()
 	d.holding = false
@@ -208,7 +240,7 @@
 		v := d.current
 		v.Holder, v.Incarnation = "", 0
 		d.sendWrite(v)
-	case d.holding:
+	case d.holding && !d.unconfirmed:
 		v := d.current
 		v.Renewal++
 		d.sendWrite(v)
@@ -276,12 +308,14 @@
 // earliestOrders returns the time from which on no order of an earlier holder is in
 // force.
 func (d *Duty) earliestOrders(previous Value) time.Time {
-	if previous.Fence == 0 {
+	if previous.Fence == 0 && d.claimFrom.IsZero() {
 		return d.now
 	}
 	earliest := d.now
-	if d.previousLeaseEnd.After(earliest) {
-		earliest = d.previousLeaseEnd
+	for _, end := range []time.Time{d.previousLeaseEnd, d.claimFrom} {
+		if end.After(earliest) {
+			earliest = end
+		}
 	}
 	return earliest.Add(d.config.OrderLifetime)
 }
@@ -327,9 +361,17 @@
 		d.scheduleRetry()
 		return
 	}
+	if d.holding && d.unconfirmed && (!d.isOwn(v) || v.Fence != d.current.Fence) {
+		d.loseDuty("the service came back from a copy")
+	}
+	d.unconfirmed = false
+	if !d.hasRead && v.Fence > 0 && v.Fence < d.firstFence() && d.claimFrom.IsZero() {
+		// The entry may be a copy that was restored before this daemon started.
+		d.claimFrom = d.now.Add(d.config.Lease)
+	}
 	d.recordValue(v, ev.Entry.Revision)
 	d.failures = 0
-	if d.resigning {
+	if d.resigning || d.holding {
 		return
 	}
 	if !d.givenUpAt.IsZero() && d.now.Sub(d.givenUpAt) < d.config.Lease {
@@ -342,5 +384,9 @@
 		d.nextCall = d.now.Add(min(wait, d.unchangedSince.Add(d.config.Lease).Sub(d.now)))
 		return
 	}
-	d.sendWrite(Value{Holder: d.config.Holder, Incarnation: d.config.Incarnation, Fence: v.Fence + 1})
+	if d.now.Before(d.claimFrom) {
+		d.nextCall = d.claimFrom
+		return
+	}
+	d.sendWrite(Value{Holder: d.config.Holder, Incarnation: d.config.Incarnation, Fence: max(v.Fence+1, d.firstFence())})
 }
--- a/internal/lease/duty_test.go
+++ b/internal/lease/duty_test.go
@@ -38,7 +38,7 @@
 	queue []scheduledCall
 	nodes []*node
 	entry keyvalue.Entry
-	// copies holds the entry as of each 100 ms, and era the number of restores.
+	// copies holds the entry as of each 100 ms. era rises with each restore.
 	copies             []keyvalue.Entry
 	era                int64
 	downUntil          time.Time
@@ -57,6 +57,7 @@
 		rng: rand.New(rand.NewPCG(seed, 9)), now: time.Unix(1_000_000, 0), holds: holds,
 		incarnationByFence: map[uint64]uint64{}, lastHeld: map[uint64]time.Time{},
 	}
+	w.era = 1
 	for i := range 3 {
 		w.nodes = append(w.nodes, &node{name: fmt.Sprint("d", i)})
 		w.start(w.nodes[i])
@@ -135,7 +136,13 @@
 	}
 	cut := w.now.Before(n.cutUntil)
 	for _, a := range actions {
-		reply := func(ev Event) { w.after(w.latency(), func() { w.step(n, d, ev) }) }
+		reply := func(ev Event) {
+			era := w.era
+			w.after(w.latency(), func() {
+				w.step(n, d, Restored{era})
+				w.step(n, d, ev)
+			})
+		}
 		switch a := a.(type) {
 		case Write:
 			wait := w.latency()
@@ -296,7 +303,7 @@
 		w := newWorld(seed, (*Duty).Holds)
 		w.run(2 * leaseTime) // The oldest copy has a holder.
 		runFaults(w, (*world).faultsAndRestores)
-		restores += w.era
+		restores += w.era - 1
 		acquired += w.acquired
 		if w.err != nil {
 			t.Errorf("seed %d: %v", seed, w.err)
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -101,6 +101,11 @@
 	Fence       uint64
 }
 
+// Restored reports an era of the service, which has come back from a copy if the era is not the
+// first one reported. The adapter sends it before the result of the call that showed it.
+type Restored struct{ Era int64 }
+
+func (Restored) event()       {}
 func (GivenUp) event()        {}
 func (Tick) event()           {}
 func (Committed) event()      {}
