gateway: don't report usage windows again that the store has lost

Cause: which window was reported last is kept in the store alone, and goes back with it. A daemon that started meanwhile lacks some of the counts.

Change: the record has the era in which it was written. A holder that finds one of an earlier era leaves out the windows that could have been reported when the daemon learned of the restore; a report of its own that is not sent yet is kept. The reports move to a file of their own.

Evidence: TestWindowsAreReportedOnceAcrossARestore had two windows reported again without requests before, and passes now.

--- a/internal/gateway/duty.go
+++ b/internal/gateway/duty.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"maps"
 	"math"
 	"math/rand/v2"
@@ -31,13 +30,6 @@
 	// dutyHolderTimeout is how long after a status of the holder other daemons don't try
 	// to take the lease.
 	dutyHolderTimeout = 800 * time.Millisecond
-	// reportedKey is the store key of the usage report that was sent last or is about to
-	// be sent.
-	reportedKey = "usage/reported"
-	// reportDelay is the wait after the end of a window before its usage is reported.
-	// Peers have sent their counts by then, and a new holder still has time to report
-	// late windows.
-	reportDelay = 2 * time.Second
 	// orderInterval is the least time between calculations of the numbers of servers to
 	// order.
 	orderInterval = 500 * time.Millisecond
@@ -52,13 +44,6 @@
 	orderArrivalMargin = 1500 * time.Millisecond
 )
 
-// Report is the usage of all daemons in one window.
-type Report struct {
-	Window accounting.Window `json:"Window"`
-	// Requests counts the requests that began to run, by organisation.
-	Requests map[string]int64 `json:"Requests"`
-}
-
 // Holder identifies the holder of the duty to the platform.
 type Holder struct {
 	Daemon string
@@ -66,12 +51,6 @@
 	Fence uint64
 }
 
-// Reporter sends usage reports to the platform. After an error, the report may or may not
-// have been accepted, and the same report is sent again.
-type Reporter interface {
-	Report(ctx context.Context, h Holder, r Report) error
-}
-
 // ServerOrder sets the number of servers of one kind in a place.
 type ServerOrder struct {
 	Service, Place string
@@ -102,12 +81,16 @@
 	g    *Gateway
 	duty *lease.Duty
 	// reported is the usage report recorded in the store, and revision that of its entry.
-	// reportedLoaded means that both were read since the lease was acquired, and
-	// reportSent that the platform has accepted the report.
+	// reportedLoaded means that both were read since the lease was acquired, in the era
+	// reportedEra, and reportSent that the platform has accepted the report.
 	reported       Report
 	revision       int64
 	reportedLoaded bool
+	reportedEra    int64
 	reportSent     bool
+	// lostReports is the last window of which the store may have lost the report in a
+	// restore; 0 means none.
+	lostReports accounting.Window
 	// resigned means that the daemon has given the duty up, at resignedAt.
 	resigned    bool
 	resignedAt  time.Time
@@ -233,7 +216,12 @@
 // noteEra tells the duty the era of the store, which has to precede the result of the call
 // that showed it.
 func (s *dutyState) noteEra() []lease.Action {
-	s.era = s.g.Store.Era()
+	if era := s.g.Store.Era(); era != s.era {
+		if s.era > 0 {
+			s.reportedLoaded, s.lostReports = false, s.g.latestReportable(time.Now())
+		}
+		s.era = era
+	}
 	return s.duty.Step(bootClockNow(), lease.Restored{Era: s.era})
 }
 
@@ -284,96 +272,6 @@
 
 func (s *dutyState) holder() Holder { return Holder{Daemon: s.g.Daemon, Fence: s.duty.Fence()} }
 
-// reportUsage reports the oldest window that is due. It records the report in the store
-// before sending it, so that the next holder repeats it with the same counts.
-func (s *dutyState) reportUsage(ctx context.Context) {
-	g := s.g
-	if g.Reporter == nil || g.Bounds.UsageWindow <= 0 || !s.loadReported(ctx) {
-		return
-	}
-	if s.reported.Window > 0 && !s.reportSent {
-		s.sendReport(ctx)
-		return
-	}
-	length := g.Bounds.UsageWindow
-	g.countMu.Lock()
-	wall := g.clock.Now(time.Now(), time.Now())
-	g.countMu.Unlock()
-	latest := accounting.WindowOf(wall.Add(-reportDelay), length) - 1
-	due := max(s.reported.Window+1, accounting.WindowOf(wall.Add(-g.Bounds.ReportWithin), length))
-	if s.reported.Window == 0 {
-		due = latest
-	}
-	if due > latest {
-		return
-	}
-	g.countMu.Lock()
-	next := Report{Window: due, Requests: g.counts.Total(due)}
-	g.countMu.Unlock()
-	if len(next.Requests) == 0 {
-		// No request ran, as far as is known. The window is skipped when a later one is
-		// reported.
-		if due == latest {
-			return
-		}
-	}
-	value, err := json.Marshal(next)
-	if err != nil {
-		g.Log.Error(err, "usage report not encoded")
-		return
-	}
-	timed, cancel := context.WithTimeout(ctx, dutyCallTimeout)
-	defer cancel()
-	e, err := g.Store.CompareAndSwap(timed, reportedKey, value, s.revision, "")
-	if err != nil {
-		g.Log.Info("usage report not recorded", "Window", next.Window, "Error", err.Error())
-		s.reportedLoaded = false // Another holder wrote the entry, or the answer was lost.
-		return
-	}
-	s.reported, s.revision, s.reportSent = next, e.Revision, false
-	s.sendReport(ctx)
-}
-
-// loadReported reads the recorded report unless it is loaded already.
-func (s *dutyState) loadReported(ctx context.Context) bool {
-	if s.reportedLoaded {
-		return true
-	}
-	ctx, cancel := context.WithTimeout(ctx, dutyCallTimeout)
-	defer cancel()
-	e, err := s.g.Store.Get(ctx, reportedKey)
-	switch {
-	case errors.Is(err, keyvalue.ErrNotFound):
-		s.reported, s.revision, s.reportSent, s.reportedLoaded = Report{}, 0, true, true
-		return true
-	case err != nil:
-		return false
-	}
-	var r Report
-	if err := json.Unmarshal(e.Value, &r); err != nil {
-		s.g.Log.Error(err, "recorded usage report not readable")
-		return false
-	}
-	s.reported, s.revision, s.reportSent, s.reportedLoaded = r, e.Revision, false, true
-	return true
-}
-
-// sendReport sends the recorded report to the platform.
-func (s *dutyState) sendReport(ctx context.Context) {
-	if !s.duty.MayOrder(bootClockNow()) {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, dutyCallTimeout)
-	defer cancel()
-	err := s.g.Reporter.Report(ctx, s.holder(), s.reported)
-	if err != nil {
-		s.g.Log.Info("usage report not taken", "Window", s.reported.Window, "Error", err.Error())
-		return
-	}
-	s.reportSent = true
-	s.g.Log.Info("usage reported", "Window", s.reported.Window, "Requests", s.reported.Requests, "Fence", s.duty.Fence())
-}
-
 // minInitialServers is the number of servers to plan before demand is known, unless more
 // are running at the start. The platform's specification starts with 18 engines for 110
 // requests a second, which fall short when a place is reclaimed in the first seconds.
