fleet, gateway: compare revisions of servers' entries within an era of the store

What callers would see: a server that says after a restore that it is leaving keeps getting work until its answers say so too, and a new start of it is not used, because what it writes has a lower revision than before and is ignored.

Cause: revisions were taken to rise for good. They go back with the store and are given out again.

Change: entries carry the era of the store, also between daemons. In a new era all that is known becomes older than what is read, and servers that are missing from the copy are kept as after an outage. What a peer sends from an earlier era is ignored, and a listing whose pages come from two eras is read again.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -58,7 +58,9 @@
 type Registration struct {
 	ID       string
 	Revision int64
-	Server   *Server
+	// Era is the era of the store to which Revision belongs.
+	Era    int64
+	Server *Server
 	// Unreadable is the reason why an entry that was not deleted names no server.
 	Unreadable string
 }
@@ -119,6 +121,7 @@
 	members    map[string]*Member
 	leaving    map[Incarnation]leavingRecord
 	lastOutage time.Time
+	era        int64
 }
 
 // NewSet returns an empty set.
@@ -129,11 +132,32 @@
 // NoteOutage records that the store did not answer.
 func (s *Set) NoteOutage(now time.Time) { s.lastOutage = now }
 
+// Era returns the latest era of the store.
+func (s *Set) Era() int64 { return s.era }
+
+// NoteEra records an era of the store and reports whether it is a new one. After the first,
+// a new one means that the store came back from a copy: revisions are given out again, and
+// servers that registered after the copy was made write their entries again.
+func (s *Set) NoteEra(now time.Time, era int64) bool {
+	if era <= s.era {
+		return false
+	}
+	if s.era > 0 {
+		s.NoteOutage(now)
+		for _, m := range s.members {
+			m.revision = 0
+		}
+	}
+	s.era = era
+	return true
+}
+
 // Apply applies a registration and returns the resulting change, if any. It ignores
 // registrations that are not newer than the last one applied.
 func (s *Set) Apply(now time.Time, r Registration) (Change, bool) {
+	s.NoteEra(now, r.Era)
 	m := s.members[r.ID]
-	if m != nil && r.Revision <= m.revision {
+	if r.Era < s.era || m != nil && r.Revision <= m.revision {
 		return Change{}, false
 	}
 	switch {
@@ -249,7 +273,7 @@
 	return Change{Member: *m, Event: Gone}
 }
 
-// Replace applies a complete listing as of a revision. It ends the registration of
+// Replace applies a complete listing as of a revision of the present era. It ends the registration of
 // members that are not listed and not newer than the listing.
 func (s *Set) Replace(now time.Time, revision int64, listed []Registration) []Change {
 	var changes []Change
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -188,3 +188,33 @@
 		t.Error("a leaving server does not change the hash")
 	}
 }
+
+// TestRevisionsOfALaterEraAreNewer guards against ignoring what is written after the store came
+// back from a copy, and against applying what a peer sends from before.
+func TestRevisionsOfALaterEraAreNewer(t *testing.T) {
+	inEra := func(era int64, r Registration) Registration {
+		r.Era = era
+		return r
+	}
+	s := NewSet()
+	s.Apply(at(0), inEra(1, registration("a", 100, 7, false)))
+	s.Apply(at(0), inEra(1, registration("b", 101, 7, false)))
+	if s.NoteEra(at(0), 1) || !s.NoteEra(at(1), 2) || s.NoteEra(at(2), 1) || s.Era() != 2 {
+		t.Error("eras are not in order")
+	}
+	if _, ok := s.Apply(at(3), inEra(1, registration("a", 200, 7, true))); ok {
+		t.Error("an entry of the earlier era is applied")
+	}
+	if c, ok := s.Apply(at(3), inEra(2, registration("a", 60, 7, true))); !ok || c.Event != Leaving {
+		t.Errorf("got %+v, %v, want that a leaves", c, ok)
+	}
+	if changes := s.Replace(at(4), 61, []Registration{inEra(2, registration("a", 60, 7, true))}); len(changes) != 0 {
+		t.Errorf("%+v, want to keep a server that has not written its entry again yet", changes)
+	}
+	if c, ok := s.Apply(at(5), inEra(2, registration("b", 62, 7, false))); ok {
+		t.Errorf("%+v, want no change of a server that has written the same entry again", c)
+	}
+	if changes := s.Expire(at(time.Minute)); len(changes) != 0 {
+		t.Errorf("%+v, want to keep it", changes)
+	}
+}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -64,7 +64,7 @@
 
 func (s *store) write(key string, value []byte) keyvalue.Entry {
 	s.revision++
-	e := keyvalue.Entry{Key: key, Value: value, Revision: s.revision}
+	e := keyvalue.Entry{Key: key, Value: value, Revision: s.revision, Era: s.era}
 	s.entries[key] = e
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -98,6 +98,10 @@
 	defer s.mu.Unlock()
 	s.entries, s.revision = maps.Clone(c.entries), c.revision
 	s.era++
+	for key, e := range s.entries {
+		e.Era = s.era
+		s.entries[key] = e
+	}
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -16,15 +16,32 @@
 	defer func() {
 		if cause := recover(); cause != nil {
 			id := strings.TrimPrefix(e.Key, c.g.Keys.Servers)
-			r = fleet.Registration{ID: id, Revision: e.Revision, Unreadable: fmt.Sprint("decoder panicked: ", cause)}
+			r = fleet.Registration{ID: id, Revision: e.Revision, Era: e.Era, Unreadable: fmt.Sprint("decoder panicked: ", cause)}
 		}
 	}()
-	return c.g.Decoder.Registration(e)
+	r = c.g.Decoder.Registration(e)
+	r.Era = e.Era
+	return r
 }
 
-// applyListing applies a complete list of server entries from the store and sends the
-// changes to all peers.
-func (c *control) applyListing(now time.Time, revision int64, entries []keyvalue.Entry) {
+// noteEra records an era of the store. It returns false if a later one is known. The entries
+// that are kept become older than all that is written in the new era.
+func (c *control) noteEra(now time.Time, era int64) bool {
+	if c.fleet.NoteEra(now, era) {
+		for key, e := range c.entries {
+			e.Era, e.Revision = era, 0
+			c.entries[key] = e
+		}
+	}
+	return era == c.fleet.Era()
+}
+
+// applyListing applies a complete list of server entries, which the store returned in an era,
+// and sends the changes to all peers.
+func (c *control) applyListing(now time.Time, era, revision int64, entries []keyvalue.Entry) {
+	if !c.noteEra(now, era) {
+		return
+	}
 	first := !c.serversListed
 	if first {
 		c.serversListed, c.changed = true, true
@@ -45,7 +62,7 @@
 		c.serverChanged(now, change)
 		e, ok := byID[change.Member.ID]
 		if !ok {
-			e = keyvalue.Entry{Key: c.g.Keys.Servers + change.Member.ID, Revision: revision, Deleted: true}
+			e = keyvalue.Entry{Key: c.g.Keys.Servers + change.Member.ID, Revision: revision, Era: era, Deleted: true}
 		}
 		m.Changes = append(m.Changes, storeEntry(e))
 	}
@@ -106,9 +123,9 @@
 		c.g.Log.Info("servers listed", "Source", from.Daemon, "Revision", m.Revision, "Servers", len(m.Changes))
 		c.serversListed, c.changed, c.listRevision = true, true, m.Revision
 	}
-	c.keepEntries(m.Changes)
+	c.keepEntries(now, m.Changes)
 	for _, e := range m.Changes {
-		r := c.registration(keyvalue.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted})
+		r := c.registration(keyvalue.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision, Era: e.Era, Deleted: e.Deleted})
 		if change, ok := c.fleet.Apply(now, r); ok {
 			c.serverChanged(now, change)
 		}
@@ -122,11 +139,13 @@
 }
 
 // keepEntries keeps the entries of servers for supply.
-func (c *control) keepEntries(entries []message.StoreEntry) {
+func (c *control) keepEntries(now time.Time, entries []message.StoreEntry) {
 	for _, e := range entries {
-		if e.Deleted {
+		switch {
+		case !c.noteEra(now, e.Era):
+		case e.Deleted:
 			delete(c.entries, e.Key)
-		} else {
+		default:
 			c.entries[e.Key] = e
 		}
 	}
@@ -134,5 +153,5 @@
 
 // storeEntry converts an entry to its form in messages.
 func storeEntry(e keyvalue.Entry) message.StoreEntry {
-	return message.StoreEntry{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted}
+	return message.StoreEntry{Key: e.Key, Value: e.Value, Revision: e.Revision, Era: e.Era, Deleted: e.Deleted}
 }
--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -169,7 +169,12 @@
 	if err != nil && !errors.Is(err, keyvalue.ErrNotFound) {
 		return errors.Annotate(err, "read the configuration")
 	}
+	eraBefore := g.Store.Era()
 	entries, revision, err := g.Store.List(ctx, g.Keys.Servers)
+	era := g.Store.Era()
+	if err == nil && eraBefore > 0 && era != eraBefore {
+		err = errRestored // Some of the pages may be of the earlier era.
+	}
 	if err != nil {
 		return errors.Annotate(err, "list the servers")
 	}
@@ -178,10 +183,13 @@
 	}
 	now := time.Now()
 	g.storeReadAt.Store(&now)
-	g.post(func(c *control) { c.applyListing(now, revision, entries) })
+	g.post(func(c *control) { c.applyListing(now, era, revision, entries) })
 	return nil
 }
 
+// errRestored reports that the store came back from a copy during a call.
+const errRestored = errors.ConstError("store came back from a copy")
+
 // offerConfiguration decodes a configuration, unless it is the last one, and passes it to
 // the control goroutine.
 func (g *Gateway) offerConfiguration(document []byte, source string) {
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -96,7 +96,7 @@
 	defer cancel()
 	e, err := g.Store.CompareAndSwap(timed, reportedKey, value, s.revision, "")
 	if err == nil && g.Store.Era() != s.reportedEra {
-		err = errors.New("the store came back from a copy")
+		err = errRestored
 	}
 	if err != nil {
 		g.Log.Info("usage report not recorded", "Window", next.Window, "Error", err.Error())
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -524,6 +524,9 @@
 	// Whether the key was deleted.
 	Deleted bool `json:"Deleted,omitempty,omitzero"`
 
+	// Era of the store to which the revision belongs.
+	Era int64 `json:"Era,omitempty,omitzero"`
+
 	// Key.
 	Key string `json:"Key"`
 
