gateway: register again and list again when the store came back from a copy

What operators would see: a daemon that registered after the copy was made is missing for the others, so that daemons that start do not link to it. If its lease was given out again, its renewals succeed and it never notices. Changes of daemons and suspects whose revisions were given out again are missed.

Cause: a lease that can be renewed was taken for proof of the entry, and a revision for a place in one history.

Change: each daemon writes its entry again under a new lease once it sees another era of the store. Watches begin again with a full list; that of the daemons waits until all have had time to register, so that none drops out of the topology meanwhile. Records of suspects that were lost are written again, since the full list shows that they are missing.

--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -94,7 +94,7 @@
 // refuses them also when it has started after the crashes or has no link to its peers. With
 // links by place, a daemon that is no delegate reads them once, when it starts.
 func (g *Gateway) watchSuspects(ctx context.Context) error {
-	g.watchPrefix(ctx, "suspects", suspectPrefix, func(entries []keyvalue.Entry, fullList bool) {
+	g.watchPrefix(ctx, "suspects", suspectPrefix, 0, func(entries []keyvalue.Entry, fullList bool) {
 		now, wallClock := time.Now(), time.Now()
 		var records []message.SuspectRecord
 		recorded, deleted := map[uint64]int64{}, map[uint64]bool{}
--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -43,6 +43,10 @@
 	// registrationLease is the lease time of this daemon's entry. It is long enough to
 	// survive a lost connection to the store.
 	registrationLease = 5 * time.Second
+	// restoredDaemonsWait is the wait before the daemons are listed when the store came back
+	// from a copy. By then all have renewed their leases once, learned of it and written their
+	// entries again, so that none drops out of the topology.
+	restoredDaemonsWait = registrationLease / 2
 	// membershipPause is the wait after daemons joined or left, during which others may
 	// do so too.
 	membershipPause = time.Second
@@ -240,12 +244,21 @@
 	if err != nil {
 		return errors.Annotate(err, "encode registration")
 	}
-	lease := ""
+	lease, era := "", int64(0)
 	retry := backoff{Most: maxRegistrationRetryDelay}
 	for ctx.Err() == nil {
 		var err error
+		if lease != "" && era > 0 && g.Store.Era() != era {
+			// The store may have lost the entry, and given the lease to another daemon.
+			g.Log.Info("registration lost in a restore", "Lease", lease)
+			lease = ""
+		}
 		if lease == "" {
+			era = g.Store.Era()
 			lease, err = g.register(ctx, value)
+			if era == 0 { // The first answer states the era.
+				era = g.Store.Era()
+			}
 		} else if err = g.Store.Renew(ctx, lease); errors.Is(err, keyvalue.ErrLeaseLapsed) {
 			g.Log.Info("registration lapsed", "Lease", lease)
 			lease = ""
@@ -287,7 +300,7 @@
 // watchDaemons watches the daemons' entries and passes the list to the control goroutine.
 func (g *Gateway) watchDaemons(ctx context.Context) error {
 	known := map[string]Daemon{}
-	g.watchPrefix(ctx, "daemons", daemonPrefix, func(entries []keyvalue.Entry, fullList bool) {
+	g.watchPrefix(ctx, "daemons", daemonPrefix, restoredDaemonsWait, func(entries []keyvalue.Entry, fullList bool) {
 		if fullList {
 			clear(known)
 		}
@@ -305,22 +318,35 @@
 }
 
 // watchPrefix passes the entries with a prefix to apply, first in a full list and then as
-// they change, until the context ends.
-func (g *Gateway) watchPrefix(ctx context.Context, name, prefix string, apply func(entries []keyvalue.Entry, fullList bool)) {
+// they change, until the context ends. When the store came back from a copy, it waits for
+// restoredWait and passes a full list again.
+func (g *Gateway) watchPrefix(ctx context.Context, name, prefix string, restoredWait time.Duration, apply func(entries []keyvalue.Entry, fullList bool)) {
 	dep := dependency{g: g, name: name}
 	retry := backoff{Most: maxWatchRetryDelay}
-	revision := int64(-1)
+	revision, era := int64(-1), int64(0)
 	for ctx.Err() == nil {
 		var entries []keyvalue.Entry
 		var next int64
 		var err error
 		fullList := revision < 0
+		if fullList {
+			era = g.Store.Era()
+		}
 		if fullList {
 			entries, next, err = g.Store.List(ctx, prefix)
 		} else {
 			entries, next, err = g.Store.Changes(ctx, prefix, revision, watchTimeout)
 		}
 		dep.noteResult(err)
+		if now := g.Store.Era(); now != era {
+			if restored := era > 0; restored {
+				// Changes that have the revisions of earlier ones would be missed.
+				revision = -1
+				sleep(ctx, restoredWait)
+				continue
+			}
+			era = now
+		}
 		if errors.Is(err, keyvalue.ErrCompacted) {
 			revision = -1
 			continue
