fleet: don't use servers again that only a copy of the store still lists

What callers would see: requests to a server that had left or died before the restore, because the copy still lists it as ready. If it still runs it gets work long after it was known to be gone.

Cause: only servers that said that they leave were remembered, not those whose registration ended without it.

Change: the incarnation of an ended registration is remembered. If a later era of the store lists it, the server counts as alive once it has written its entry again, or once the entry has stayed for longer than the store keeps those of silent servers.

Evidence: TestEndedServerIsNotUsedBecauseOfACopy accepted the server before, and passes now.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -26,6 +26,10 @@
 	// unreadableGrace is how long a server is kept whose registration became unreadable. A
 	// server that lives rewrites its own within a heartbeat (1.2 s on the users' platform).
 	unreadableGrace = 2 * time.Second
+	// confirmAfter is how long a registration that had ended stays in the store after it came
+	// back with a copy, before its server counts as alive. The store removes the entries of
+	// silent servers after three heartbeats, 3.6 s at the interval of the specification.
+	confirmAfter = 5 * time.Second
 	// leavingMemory is how long a leaving incarnation is remembered.
 	leavingMemory = 5 * time.Minute
 )
@@ -83,10 +87,13 @@
 	leavingByAnswer bool
 	// unreadableAt is when the registration was replaced by an unreadable one.
 	unreadableAt time.Time
+	// unconfirmedUntil is set while the registration may be one that had ended and came back
+	// with a copy of the store.
+	unconfirmedUntil time.Time
 }
 
 // Accepting reports whether the server may get new work.
-func (m *Member) Accepting() bool { return m.LeavingSince.IsZero() }
+func (m *Member) Accepting() bool { return m.LeavingSince.IsZero() && m.unconfirmedUntil.IsZero() }
 
 // Incarnation identifies one start of a server.
 type Incarnation struct {
@@ -101,6 +108,12 @@
 	byAnswer bool
 }
 
+// endedRecord is when and in which era of the store a registration ended.
+type endedRecord struct {
+	at  time.Time
+	era int64
+}
+
 // Change is a change of a member that routing may depend on.
 type Change struct {
 	Member Member
@@ -118,15 +131,17 @@
 
 // Set holds the members. It is not safe for concurrent use.
 type Set struct {
-	members    map[string]*Member
-	leaving    map[Incarnation]leavingRecord
+	members map[string]*Member
+	leaving map[Incarnation]leavingRecord
+	// ended holds when and in which era registrations ended.
+	ended      map[Incarnation]endedRecord
 	lastOutage time.Time
 	era        int64
 }
 
 // NewSet returns an empty set.
 func NewSet() *Set {
-	return &Set{members: map[string]*Member{}, leaving: map[Incarnation]leavingRecord{}}
+	return &Set{members: map[string]*Member{}, leaving: map[Incarnation]leavingRecord{}, ended: map[Incarnation]endedRecord{}}
 }
 
 // NoteOutage records that the store did not answer.
@@ -171,7 +186,8 @@
 	}
 	before := m.Server
 	m.Server, m.revision, m.UpdatedAt = *r.Server, r.Revision, now
-	m.lapsedAt, m.unreadableAt = time.Time{}, time.Time{}
+	confirmed := !m.unconfirmedUntil.IsZero() // The server has written it since the restore.
+	m.lapsedAt, m.unreadableAt, m.unconfirmedUntil = time.Time{}, time.Time{}, time.Time{}
 	switch {
 	case m.Leaving && m.LeavingSince.IsZero():
 		s.markLeaving(now, m, false)
@@ -182,12 +198,15 @@
 	}
 	m.Leaving = !m.LeavingSince.IsZero()
 	before.Warmup, before.Remaining = m.Warmup, m.Remaining
-	return Change{Member: *m, Event: Changed}, before != m.Server
+	return Change{Member: *m, Event: Changed}, confirmed || before != m.Server
 }
 
 func (s *Set) add(now time.Time, old *Member, r Registration) (Change, bool) {
 	m := &Member{Server: *r.Server, revision: r.Revision, UpdatedAt: now}
 	s.members[r.ID] = m
+	if e, ok := s.ended[Incarnation{r.ID, m.Incarnation}]; ok && e.era < s.era {
+		m.unconfirmedUntil = now.Add(confirmAfter)
+	}
 	if l, ok := s.leaving[Incarnation{r.ID, m.Incarnation}]; ok {
 		m.leavingByAnswer = l.byAnswer && !m.Leaving
 		m.LeavingSince, m.Leaving = l.since, true
@@ -270,6 +289,7 @@
 		m.LeavingSince, m.Leaving = now, true
 	}
 	delete(s.members, m.ID)
+	s.ended[Incarnation{m.ID, m.Incarnation}] = endedRecord{now, s.era}
 	return Change{Member: *m, Event: Gone}
 }
 
@@ -305,8 +325,14 @@
 		if !m.lapsedAt.IsZero() && now.Sub(m.lapsedAt) >= lapseGrace ||
 			!m.unreadableAt.IsZero() && now.Sub(m.unreadableAt) >= unreadableGrace {
 			changes = append(changes, s.remove(now, m))
+			continue
+		}
+		if !m.unconfirmedUntil.IsZero() && !now.Before(m.unconfirmedUntil) {
+			m.unconfirmedUntil = time.Time{}
+			changes = append(changes, Change{Member: *m, Event: Changed})
 		}
 	}
+	maps.DeleteFunc(s.ended, func(_ Incarnation, e endedRecord) bool { return now.Sub(e.at) > leavingMemory })
 	for i, l := range s.leaving {
 		if now.Sub(l.since) > leavingMemory {
 			delete(s.leaving, i)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -218,3 +218,32 @@
 		t.Errorf("%+v, want to keep it", changes)
 	}
 }
+
+// TestEndedServerIsNotUsedBecauseOfACopy guards against sending requests to a server whose
+// registration had ended before the store came back from a copy that still has it.
+func TestEndedServerIsNotUsedBecauseOfACopy(t *testing.T) {
+	s := NewSet()
+	for id, revision := range map[string]int64{"a": 1, "b": 2} {
+		r := registration(id, revision, 7, false)
+		r.Era = 1
+		s.Apply(at(0), r)
+	}
+	ended := registration("a", 9, 7, false)
+	ended.Server, ended.Era = nil, 1
+	if c, ok := s.Apply(at(time.Second), ended); !ok || c.Event != Gone {
+		t.Fatalf("got %+v, %v", c, ok)
+	}
+	copied := registration("a", 1, 7, false)
+	copied.Era = 2
+	s.Apply(at(2*time.Second), copied)
+	if got := acceptingIDs(s); got != "b" {
+		t.Errorf("accepting %q after the restore, want b", got)
+	}
+	if changes := s.Expire(at(4 * time.Second)); len(changes) != 0 {
+		t.Errorf("%+v while the entry may be an old one", changes)
+	}
+	s.Expire(at(8 * time.Second))
+	if got := acceptingIDs(s); got != "ab" {
+		t.Errorf("accepting %q, want ab: the server keeps its entry, so it is alive", got)
+	}
+}
