gateway: keep a failure of the next server out of a stream that has begun

What callers would see: a stream breaks off, the server that should continue it answers 404, and the text of that answer is passed on within the stream, which then ends as if it were complete.

Cause: an answer other than 200 to a stream's route was passed on whole, also when the caller had the head and some events of another server already.

Change: once the head was passed on, an answer other than 200 is a failed attempt. The request is tried again where its route allows, and else its connection is cut off.

Evidence: TestAnswerOfTheNextServerDoesNotEnterTheStream failed with 204, 302, 403, 404 and 429 before, and passes now; 500 was right already.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -349,6 +349,11 @@
 		s.logAttempt(server, dispatch.Broken, err)
 		return attemptResult{ending: dispatch.Broken, err: err}
 	}
+	if s.stream.headersSent && res.Status != http.StatusOK {
+		err := errors.Errorf("server answered status %d instead of continuing the stream", res.Status)
+		s.logAttempt(server, dispatch.Broken, err)
+		return attemptResult{ending: dispatch.Broken, err: err}
+	}
 	if s.route.Stream && res.Status == http.StatusOK {
 		return s.relay(ctx, cancel, server, res)
 	}
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"testing"
 )
 
@@ -37,3 +38,35 @@
 		})
 	}
 }
+
+// TestAnswerOfTheNextServerDoesNotEnterTheStream guards against passing on a failure of the server
+// that should continue a stream as if it were the rest of it.
+func TestAnswerOfTheNextServerDoesNotEnterTheStream(t *testing.T) {
+	for _, status := range []int{http.StatusNoContent, http.StatusFound, http.StatusForbidden, http.StatusNotFound, http.StatusTooManyRequests, http.StatusInternalServerError} {
+		t.Run(strconv.Itoa(status), func(t *testing.T) {
+			t.Parallel()
+			env := newTestEnv(t)
+			begin := func(w http.ResponseWriter, r *http.Request) {
+				if r.Header.Get("Last-Event-Id") != "" {
+					w.Header().Set("X-Signature", "s")
+					w.WriteHeader(status)
+					if status != http.StatusNoContent {
+						_, _ = io.WriteString(w, "id: 5\ndata: an error\n\n")
+					}
+					return
+				}
+				writeStream(w, r, 4)
+				closeConnection(w)
+			}
+			first, second := env.addServer("s1", "model", begin), env.addServer("s2", "model", begin)
+			gw := env.startReady("g1")
+			got := gw.send(t.Context(), http.MethodPost, "/stream/")
+			if got.err == nil || got.body != events(1, 4) {
+				t.Errorf("got %+v, want the events before and a broken connection", got)
+			}
+			if n := first.requests() + second.requests(); n != 2 {
+				t.Errorf("%d requests, want 2", n)
+			}
+		})
+	}
+}
