gateway: report windows after a restore that the holder knows of

Cause: the change that keeps windows from being reported twice looked at the time only, also at a daemon that has held the duty all along.

Change: a holder that has read the record since it acquired the duty leaves out only the windows up to the last one that it knows of.

Evidence: TestHolderReportsEveryWindowAcrossARestore missed a window before, and passes now.

--- a/internal/gateway/duty.go
+++ b/internal/gateway/duty.go
@@ -88,6 +88,9 @@
 	reportedLoaded bool
 	reportedEra    int64
 	reportSent     bool
+	// reportsKnown means that the record was read at least once since the lease was acquired,
+	// so that this daemon has made all later reports.
+	reportsKnown bool
 	// lostReports is the last window of which the store may have lost the report in a
 	// restore; 0 means none.
 	lostReports accounting.Window
@@ -149,7 +152,7 @@
 			continue
 		}
 		if t := g.peerHeldDutyAt.Load(); !g.holdsDuty.Load() && t != nil && time.Since(*t) < dutyHolderTimeout {
-			s.reportedLoaded = false
+			s.forgetReported()
 			continue // The lease is held: no need to read the store.
 		}
 		s.performActions(ctx, s.duty.Step(bootClockNow(), lease.Tick{}))
@@ -157,7 +160,7 @@
 			s.reportUsage(ctx)
 			s.orderServers(ctx, time.Now())
 		} else {
-			s.reportedLoaded = false
+			s.forgetReported()
 		}
 	}
 }
@@ -217,9 +220,14 @@
 // that showed it.
 func (s *dutyState) noteEra() []lease.Action {
 	if era := s.g.Store.Era(); era != s.era {
-		if s.era > 0 {
-			s.reportedLoaded, s.lostReports = false, s.g.latestReportable(time.Now())
+		switch {
+		case s.era == 0:
+		case s.reportsKnown && s.duty.Holds(bootClockNow()):
+			s.lostReports = max(s.lostReports, s.reported.Window) // No other daemon has reported a later one.
+		default:
+			s.lostReports = s.g.latestReportable(time.Now())
 		}
+		s.reportedLoaded = false
 		s.era = era
 	}
 	return s.duty.Step(bootClockNow(), lease.Restored{Era: s.era})
@@ -240,7 +248,7 @@
 				next = append(next, s.noteEra()...)
 				next = append(next, s.duty.Step(bootClockNow(), result)...)
 			case lease.Acquired:
-				s.reportedLoaded = false
+				s.forgetReported()
 				clear(s.ordered)
 				s.g.Log.Info("duty acquired", "Duty", dutyName, "Fence", a.Fence, "OrdersFrom", a.OrdersFrom)
 			case lease.Lost:
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -280,6 +280,8 @@
 	configuration Configuration
 	// reporter is the Reporter of gateways that start later; nil means none.
 	reporter Reporter
+	// lease is the lease of the duty of gateways that start later.
+	lease time.Duration
 	// gatewayStore replaces store for gateways that start later, if it is not nil.
 	gatewayStore Store
 }
@@ -290,7 +292,7 @@
 func (discardReports) Report(context.Context, Holder, Report) error { return nil }
 
 func newTestEnv(t *testing.T) *testEnv {
-	env := &testEnv{t: t, store: newStore()}
+	env := &testEnv{t: t, store: newStore(), lease: time.Second}
 	env.configuration = Configuration{
 		Version: 1,
 		Routes: []route.Route{
@@ -399,7 +401,7 @@
 		CallerListener: callers, PeerListener: peers, Store: env.store, Decoder: decoder{}, Protocol: protocol{},
 		Keys: Keys{Configuration: "configuration", Servers: "servers/"},
 		Bounds: Bounds{
-			GracePeriod: 3 * time.Second, RetryShare: 0.2, RetryBurst: 50, RetryWindow: 10 * time.Second, Lease: time.Second,
+			GracePeriod: 3 * time.Second, RetryShare: 0.2, RetryBurst: 50, RetryWindow: 10 * time.Second, Lease: env.lease,
 			UsageWindow: time.Second, ReportWithin: 10 * time.Second,
 		},
 		Reporter: env.reporter, Backends: &backend.Pool{Names: testHeaderNames}, Log: logr.Discard(),
--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -77,6 +77,39 @@
 	}
 }
 
+// TestHolderReportsEveryWindowAcrossARestore guards against leaving out windows whose reports the
+// holder of the duty remembers.
+func TestHolderReportsEveryWindowAcrossARestore(t *testing.T) {
+	env := newTestEnv(t)
+	reports := &recordedReports{windows: map[accounting.Window]map[string]int64{}}
+	env.reporter = reports
+	env.addServer("s1", "plain", signedAnswer("ok"))
+	env.lease = 3 * time.Second
+	gw := env.startReady("g1")
+	stop := press(t, 50*time.Millisecond, "/safe/x", gw)
+	latest := func() accounting.Window {
+		latest, _ := reports.withRequests()
+		return latest
+	}
+	waitFor(t, "a window is reported", func() bool { return latest() > 0 })
+	first, before := latest(), env.store.copy()
+	waitFor(t, "two more are reported", func() bool { return latest() >= first+2 })
+	env.store.setFailures(true, false)
+	time.Sleep(1300 * time.Millisecond) // More than a window.
+	env.store.restore(before)
+	env.store.setFailures(false, false)
+	waitFor(t, "four more are reported", func() bool { return latest() >= first+6 })
+	stop()
+	for w := first; w <= first+6; w++ {
+		if len(reports.windows[w]) == 0 {
+			t.Errorf("window %d after the first is not reported", w-first)
+		}
+	}
+	for _, err := range reports.errs {
+		t.Error(err)
+	}
+}
+
 // TestServersAreFollowedAfterARestore guards against taking what servers write after a restore for
 // old, because its revision is lower than that of what they wrote before.
 func TestServersAreFollowedAfterARestore(t *testing.T) {
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -137,10 +137,13 @@
 	if s.reported.Window <= r.Window || s.reportSent {
 		s.reported, s.reportSent = r.Report, r.Window == 0
 	}
-	s.revision, s.reportedEra, s.reportedLoaded = e.Revision, s.era, true
+	s.revision, s.reportedEra, s.reportedLoaded, s.reportsKnown = e.Revision, s.era, true, true
 	return true
 }
 
+// forgetReported is called while the duty is not held: other daemons may report.
+func (s *dutyState) forgetReported() { s.reportedLoaded, s.reportsKnown = false, false }
+
 // sendReport sends the recorded report to the platform.
 func (s *dutyState) sendReport(ctx context.Context) {
 	if !s.duty.MayOrder(bootClockNow()) {
