fleet, gateway: tell servers that left after a restore from those a copy lacks

A daemon that does not read the store itself noted the era with the first change after the restore, took that moment for the return of the store, and kept the server as one that had not written its entry again yet.

Change: each daemon notes the era when its own calls show it. Only a server that has not been seen since the restore is kept, until 2 s after the daemon learned of the restore.

Evidence: TestServerRemovedAfterARestoreIsGoneAtOnce and TestAllDaemonsLearnOfARestore failed before and pass now.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -137,6 +137,8 @@
 	ended      map[Incarnation]endedRecord
 	lastOutage time.Time
 	era        int64
+	// restoredAt is when the present era was noted, unless it is the first.
+	restoredAt time.Time
 }
 
 // NewSet returns an empty set.
@@ -158,7 +160,7 @@
 		return false
 	}
 	if s.era > 0 {
-		s.NoteOutage(now)
+		s.restoredAt = now
 		for _, m := range s.members {
 			m.revision = 0
 		}
@@ -255,17 +257,24 @@
 	s.leaving[Incarnation{m.ID, m.Incarnation}] = leavingRecord{now, byAnswer}
 }
 
-// endRegistration handles the end of a registration. Shortly after an outage it keeps the
-// member, which Expire removes if its registration does not return.
+// endRegistration handles the end of a registration. Shortly after an outage, or if the store
+// came back from a copy without it, it keeps the member, which Expire removes if its
+// registration does not return.
 func (s *Set) endRegistration(now time.Time, m *Member, revision int64) (Change, bool) {
 	if m == nil {
 		return Change{}, false
 	}
+	seen := m.revision > 0 // In the present era.
 	m.revision = revision
-	if m.LeavingSince.IsZero() && !s.lastOutage.IsZero() && now.Sub(s.lastOutage) < outageMemory {
-		if m.lapsedAt.IsZero() {
-			m.lapsedAt = now
-		}
+	switch {
+	case !m.LeavingSince.IsZero():
+	case !m.lapsedAt.IsZero():
+		return Change{}, false
+	case !seen && now.Sub(s.restoredAt) < lapseGrace:
+		m.lapsedAt = s.restoredAt
+		return Change{}, false
+	case !s.lastOutage.IsZero() && now.Sub(s.lastOutage) < outageMemory:
+		m.lapsedAt = now
 		return Change{}, false
 	}
 	return s.remove(now, m), true
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -247,3 +247,25 @@
 		t.Errorf("accepting %q, want ab: the server keeps its entry, so it is alive", got)
 	}
 }
+
+// TestServerRemovedAfterARestoreIsGoneAtOnce guards against keeping a server that was removed long
+// after the restore as if it were missing from the copy.
+func TestServerRemovedAfterARestoreIsGoneAtOnce(t *testing.T) {
+	for _, seen := range []bool{true, false} {
+		s := NewSet()
+		for id, revision := range map[string]int64{"a": 100, "b": 101} {
+			r := registration(id, revision, 7, false)
+			r.Era = 1
+			s.Apply(at(0), r)
+		}
+		s.NoteEra(at(time.Second), 2)
+		if seen { // A daemon that reads the store; others learn of changes only.
+			r := registration("a", 60, 7, false)
+			r.Era = 2
+			s.Apply(at(time.Second), r)
+		}
+		if c, ok := s.Apply(at(3500*time.Millisecond), Registration{ID: "a", Revision: 70, Era: 2}); !ok || c.Event != Gone {
+			t.Errorf("seen since the restore: %v: got %+v, %v, want that a is gone", seen, c, ok)
+		}
+	}
+}
--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -140,6 +140,22 @@
 	}
 }
 
+// TestAllDaemonsLearnOfARestore guards against daemons that take the first change long after a
+// restore for the time of the restore, because another daemon reads the store for them.
+func TestAllDaemonsLearnOfARestore(t *testing.T) {
+	env := newTestEnv(t)
+	env.addServer("s1", "plain", signedAnswer("ok"))
+	gateways := []*testGateway{env.startReady("g1"), env.startReady("g2")}
+	env.store.restore(env.store.copy())
+	for _, gw := range gateways {
+		waitFor(t, "the daemon knows the era", func() bool {
+			era := make(chan int64, 1)
+			gw.post(func(c *control) { era <- c.fleet.Era() })
+			return <-era == 2
+		})
+	}
+}
+
 // TestServersMissingFromACopyAreKept guards against giving up servers that registered after the
 // copy was made and have not written their entries again yet.
 func TestServersMissingFromACopyAreKept(t *testing.T) {
--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -118,6 +118,8 @@
 			if before > 0 {
 				g.Log.Info("store restored", "Era", era, "Before", before)
 			}
+			now, era := time.Now(), era
+			g.post(func(c *control) { c.noteEra(now, era) })
 		}
 		if !time.Now().After(g.nextPoll(started)) {
 			sleep(ctx, pollCheckInterval)
