backend, gateway: test heads of answers that end at every byte

Another operator's report: a server stopped in the middle of its answer's head, and callers got a 200 with an empty or short body. It can't happen here: three heads cut at each of their bytes are incomplete at the client of the servers, and four cuts on four kinds of route end in a failure at the gateway. No change of code.

--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -450,3 +450,25 @@
 		}
 	}
 }
+
+// TestHeadCutAnywhereIsIncomplete guards against taking a head that ends early for a whole answer
+// without a body.
+func TestHeadCutAnywhereIsIncomplete(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\nX-Attempt: 1\r\nX-Signature: s\r\nContent-Length: 3\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX-Attempt: 1\r\nX-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX-Attempt: 1\r\nX-Signature: s\r\nConnection: close\r\n\r\n",
+	} {
+		for n := range len(head) {
+			s := startServer(t, func(c net.Conn, readRequest func() string) {
+				readRequest()
+				fmt.Fprint(c, head[:n])
+			})
+			p := &Pool{Names: testNames}
+			if body, err := fetch(t, p, s.address, "1"); !errors.Is(err, ErrIncomplete) {
+				t.Errorf("after %q: body %q, error %v, want ErrIncomplete", head[:n], body, err)
+			}
+			p.Close()
+		}
+	}
+}
--- a/internal/gateway/reports_test.go
+++ b/internal/gateway/reports_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -103,3 +105,37 @@
 		t.Errorf("got %+v", got)
 	}
 }
+
+// TestHeadCutOffIsNoAnswer guards against an answer 200 whose head the server did not finish, with
+// an empty or short body that looks whole.
+func TestHeadCutOffIsNoAnswer(t *testing.T) {
+	for _, route := range []string{"/unsafe/x", "/safe/x", "/once/x", "/stream/x"} {
+		for _, head := range []string{
+			"HTTP/1.1 200 OK\r\n",
+			"HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Signature: s\r\n",
+			"HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Signature: s\r\nContent-Le",
+			"HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Signature: s\r\nContent-Length: 2\r\n\r",
+		} {
+			t.Run(route+strconv.Itoa(len(head)), func(t *testing.T) {
+				t.Parallel()
+				env := newTestEnv(t)
+				cut := func(w http.ResponseWriter, r *http.Request) {
+					c, b, err := http.NewResponseController(w).Hijack()
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					_, _ = b.WriteString(strings.ReplaceAll(head, "%s", r.Header.Get("X-Id")))
+					_ = b.Flush()
+					_ = c.Close()
+				}
+				env.addServer("s1", "plain", cut)
+				env.addServer("s2", "model", cut)
+				gw := env.startReady("g1")
+				if got := gw.send(t.Context(), http.MethodPost, route); got.err == nil && got.status/100 != 5 {
+					t.Errorf("got %+v, want a failure", got)
+				}
+			})
+		}
+	}
+}
