gateway: end no request without an answer at the end of a drain

What callers would see: a request that came late in the grace time of a planned stop is taken, passed on, and cut off without an answer 0.4 s before its end, also one that may not be repeated.

Cause: requests were taken for half of the grace time whatever time they had left, and the end of the drain closed the connections of those in flight.

Change: after a quarter of the grace time, a request is taken only if its timeout is before the end of the drain; others are refused as not run, and their callers go elsewhere. What still has no answer at the end gets one: 504 if it may have run, else 503. Streams that have begun are cut off as before, so that they can be resumed.

Evidence: TestDrainEndsNoRequestWithoutAnswer had a late and an early request cut off before, and passes now.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -73,6 +73,10 @@
 			s.cancel()
 			s.refuse(s.expiredProblem())
 			return
+		case <-g.drained.Done():
+			s.cancel()
+			s.refuse(s.drainedProblem())
+			return
 		}
 		if grant.Problem != nil {
 			s.refuse(s.adjustForAttempts(grant.Problem))
@@ -117,6 +121,14 @@
 	return p
 }
 
+// drainedProblem returns the problem for a request that has no answer when its daemon ends.
+func (s *session) drainedProblem() *problem.Problem {
+	if s.mayHaveRun {
+		return problem.New(problem.OutcomeUnknown, "no answer before the daemon ends")
+	}
+	return problem.New(problem.Draining, "daemon is leaving")
+}
+
 // adjustForAttempts replaces a problem that reports "not run" if an earlier attempt may
 // have run the request.
 func (s *session) adjustForAttempts(p *problem.Problem) *problem.Problem {
@@ -135,6 +147,8 @@
 	switch {
 	case s.r.Context().Err() != nil:
 		p = problem.New(problem.OutcomeUnknown, "the caller is gone")
+	case g.drained.Err() != nil:
+		p = s.drainedProblem()
 	case s.deadline.Sub(now) < minAttemptTime:
 		p = s.expiredProblem()
 	case s.attemptsExhausted() && !certainlyNotRun(result.ending),
@@ -212,6 +226,12 @@
 	}
 	timer := time.AfterFunc(timeout, func() { cancel(errAttemptTimeout) })
 	defer timer.Stop()
+	stopOnDrain := context.AfterFunc(g.drained, func() {
+		if !s.stream.begun.Load() {
+			cancel(errDrained)
+		}
+	})
+	defer stopOnDrain()
 	if s.stop != nil {
 		select {
 		case <-s.stop: // Drop a stop meant for an earlier attempt.
@@ -247,6 +267,7 @@
 const (
 	errAttemptTimeout = errors.ConstError("no answer in time")
 	errServerLeaving  = errors.ConstError("server is leaving")
+	errDrained        = errors.ConstError("daemon ends")
 )
 
 // backendRequest builds the request for a backend server.
@@ -310,7 +331,7 @@
 // what its requests take.
 func (s *session) suspectsServer(ctx context.Context) bool {
 	switch cause := context.Cause(ctx); {
-	case errors.Is(cause, errServerLeaving):
+	case errors.Is(cause, errServerLeaving), errors.Is(cause, errDrained):
 		return false
 	case errors.Is(cause, errAttemptTimeout):
 		return time.Since(s.received) >= suspectAfter
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -14,6 +14,9 @@
 	// newStreamsTime is how long after the start of a drain new streams are accepted.
 	// Later ones might not end within the grace period.
 	newStreamsTime = 2500 * time.Millisecond
+	// earlyShare is the share of the grace period in which requests are accepted whatever time
+	// they may take. Later ones have to end within it.
+	earlyShare = 0.25
 	// drainMargin is kept between the end of the drain and SIGKILL, for the process to
 	// exit.
 	drainMargin = 400 * time.Millisecond
@@ -30,7 +33,8 @@
 // Drain takes the daemon out of service. Callers are given other addresses at once;
 // requests that still arrive are served while callers may have cached this address. It
 // returns when no request is in flight and the callers' connections are closed, or shortly
-// before the end of the grace period.
+// before the end of the grace period. Requests that have no answer by then get one that says
+// so.
 func (g *Gateway) Drain(ctx context.Context) {
 	if g.draining.Swap(true) {
 		return
@@ -49,23 +53,28 @@
 		}
 	}
 	g.Log.Info("drain ended", "InFlight", g.inFlight.Load(), "Took", time.Since(started))
-	close(g.drained)
+	g.endDrain()
 	select {
 	case <-g.callersServed:
 	case <-ctx.Done():
 	}
 }
 
-// accepting reports whether a request that arrives at now is served.
-func (g *Gateway) accepting(now time.Time, stream bool) bool {
+// accepting reports whether a request that arrives at now, and has to be answered by a deadline,
+// is served. One that might not end before this daemon does is better sent to another.
+func (g *Gateway) accepting(now, deadline time.Time, stream bool) bool {
 	started := g.drainStart.Load()
-	switch {
-	case started == nil:
+	if started == nil {
 		return true
+	}
+	age := now.Sub(*started)
+	switch {
 	case stream:
-		return now.Sub(*started) < newStreamsTime
+		return age < newStreamsTime
+	case age >= min(lookupCacheTime, g.Bounds.GracePeriod/2):
+		return false
 	}
-	return now.Sub(*started) < min(lookupCacheTime, g.Bounds.GracePeriod/2)
+	return age < time.Duration(earlyShare*float64(g.Bounds.GracePeriod)) || !deadline.After(started.Add(g.Bounds.GracePeriod-drainMargin))
 }
 
 // stopRunsOnLeavingServer stops the runs of a leaving server after leavingRunShare of its
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -168,9 +168,10 @@
 
 	draining   atomic.Bool
 	drainStart atomic.Pointer[time.Time]
-	// drained is closed when no request is in flight, and callersServed when the connections
+	// drained ends, by endDrain, when a drain has ended. callersServed is closed when the connections
 	// of callers are closed.
-	drained       chan struct{}
+	drained       context.Context
+	endDrain      context.CancelFunc
 	callersServed chan struct{}
 	inFlight      atomic.Int64
 }
@@ -196,7 +197,8 @@
 	g.recordedSuspects = map[uint64]int64{}
 	g.evidenceNews = map[bool]map[quarantine.Fingerprint]bool{true: {}, false: {}}
 	g.rows, g.placeLoads = map[string]daemonRow{}, map[string]placeLoads{}
-	g.drained, g.callersServed = make(chan struct{}), make(chan struct{})
+	g.drained, g.endDrain = context.WithCancel(context.Background())
+	g.callersServed = make(chan struct{})
 	if g.Metrics == nil {
 		g.Metrics = metrics.NewRegistry()
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -34,6 +35,8 @@
 type streamState struct {
 	// headersSent means that the headers were written to the caller.
 	headersSent bool
+	// begun is headersSent for other goroutines.
+	begun atomic.Bool
 	// lastEventID is the id of the last event written to the caller.
 	lastEventID string
 	// eventCount is the number of events written to the caller.
@@ -196,6 +199,7 @@
 // writeHeaders writes the response headers of the first server that answers.
 func (s *session) writeHeaders(res *backend.Response) {
 	s.stream.headersSent = true
+	s.stream.begun.Store(true)
 	h := s.w.Header()
 	for name, values := range s.g.Protocol.Response(endToEndHeaders(res.Header)) {
 		h[name] = values
--- a/internal/gateway/reports_test.go
+++ b/internal/gateway/reports_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -139,3 +140,46 @@
 		}
 	}
 }
+
+// TestDrainEndsNoRequestWithoutAnswer guards against cutting off requests at the end of a drain:
+// those that arrive too late to be answered are refused before they run.
+func TestDrainEndsNoRequestWithoutAnswer(t *testing.T) {
+	for _, c := range []struct {
+		name            string
+		sent, answering time.Duration
+		want            []int
+		reached         int
+	}{
+		{"early", 100 * time.Millisecond, 500 * time.Millisecond, []int{http.StatusOK}, 1},
+		{"early and long", 100 * time.Millisecond, 10 * time.Second, []int{http.StatusGatewayTimeout}, 1},
+		{"late", 1200 * time.Millisecond, 10 * time.Second, []int{http.StatusServiceUnavailable}, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			env := newTestEnv(t)
+			server := env.addServer("s1", "plain", func(w http.ResponseWriter, r *http.Request) {
+				select {
+				case <-time.After(c.answering):
+				case <-r.Context().Done():
+				}
+				signedAnswer("ok")(w, r)
+			})
+			gw := env.startReady("g1")
+			drained := make(chan struct{})
+			go func() {
+				defer close(drained)
+				gw.Drain(t.Context())
+				gw.cancel()
+			}()
+			time.Sleep(c.sent)
+			got := gw.send(t.Context(), http.MethodPost, "/unsafe/x")
+			if got.err != nil || !slices.Contains(c.want, got.status) {
+				t.Errorf("got %+v, want one of %v", got, c.want)
+			}
+			if n := server.requests(); n != c.reached {
+				t.Errorf("%d requests reached the server, want %d", n, c.reached)
+			}
+			<-drained
+		})
+	}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -73,7 +73,7 @@
 	select {
 	case err := <-served:
 		return errors.Annotate(err, "serve callers")
-	case <-g.drained:
+	case <-g.drained.Done():
 		// A drain has already waited for the requests that it knew of. One may just arrive:
 		// http.Server.Shutdown would cut it off.
 		_ = g.CallerListener.Close()  // Serve returns the error.
@@ -164,10 +164,10 @@
 		return p
 	}
 	s.received = time.Now()
-	if !s.g.accepting(s.received, s.route.Stream) {
+	s.setLimits()
+	if !s.g.accepting(s.received, s.deadline, s.route.Stream) {
 		return problem.New(problem.Draining, "daemon is leaving")
 	}
-	s.setLimits()
 	return s.chargeQuota()
 }
 
