--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -4,7 +4,7 @@
 // The daemons do not report to each other what they send: rates are as low as one request a
 // second, so that reports would arrive after the requests that they should prevent. Each
 // daemon derives its share from the list of daemons instead. If the rate is too low to give
-// every daemon a request now and then, a few of them, chosen by hash, share it.
+// every daemon a request now and then, the first few in an order by hash share it.
 package allowance
 
 import (
--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -77,7 +77,7 @@
 		{false, 0, 250, 310, false, false}, // Sent before the last answer with the limit.
 		{true, 1.5, 120, 320, true, true},  // A lower one applies at once.
 		{true, 5, 200, 330, false, false},
-		{true, 1.5, 400, 6000, false, true}, // The others have not heard of it for long.
+		{true, 1.5, 400, 6000, false, true}, // The last news of it is old.
 		{true, 3, 6001, 6100, true, true},
 		{false, 0, 6101, 6200, true, true},
 		{false, 0, 6201, 6300, false, false},
--- a/internal/gateway/duty.go
+++ b/internal/gateway/duty.go
@@ -98,7 +98,7 @@
 	resigned    bool
 	resignedAt  time.Time
 	eraAtResign int64
-	// era is the latest era of the store that the duty has been told.
+	// era is the latest era of the store that was passed to the duty.
 	era int64
 	// peerGaveUp is the last value of Gateway.peerGaveUpDuty that was applied.
 	peerGaveUp *lease.GivenUp
@@ -216,7 +216,7 @@
 	s.resigned, s.resignedAt, s.eraAtResign = true, now, s.era
 }
 
-// noteEra tells the duty the era of the store, which has to precede the result of the call
+// noteEra passes the era of the store to the duty, which has to precede the result of the call
 // that showed it.
 func (s *dutyState) noteEra() []lease.Action {
 	if era := s.g.Store.Era(); era != s.era {
--- a/internal/gateway/rate_test.go
+++ b/internal/gateway/rate_test.go
@@ -149,7 +149,7 @@
 	}
 }
 
-// TestDaemonThatStartsLearnsRates guards against a daemon that starts and has not heard of them.
+// TestDaemonThatStartsLearnsRates guards against a daemon that starts without knowing them.
 func TestDaemonThatStartsLearnsRates(t *testing.T) {
 	env := newTestEnv(t)
 	env.addServer("s1", "plain", func(w http.ResponseWriter, r *http.Request) {
--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -113,13 +113,13 @@
 	started := time.Now()
 	era := int64(0)
 	for ctx.Err() == nil {
-		if before := era; before != g.Store.Era() {
-			era = g.Store.Era()
-			if before > 0 {
-				g.Log.Info("store restored", "Era", era, "Before", before)
+		if latest := g.Store.Era(); latest != era {
+			if era > 0 {
+				g.Log.Info("store restored", "Era", latest, "Before", era)
 			}
-			now, era := time.Now(), era
-			g.post(func(c *control) { c.noteEra(now, era) })
+			era = latest
+			now := time.Now()
+			g.post(func(c *control) { c.noteEra(now, latest) })
 		}
 		if !time.Now().After(g.nextPoll(started)) {
 			sleep(ctx, pollCheckInterval)
@@ -333,21 +333,18 @@
 		fullList := revision < 0
 		if fullList {
 			era = g.Store.Era()
-		}
-		if fullList {
 			entries, next, err = g.Store.List(ctx, prefix)
 		} else {
 			entries, next, err = g.Store.Changes(ctx, prefix, revision, watchTimeout)
 		}
 		dep.noteResult(err)
-		if now := g.Store.Era(); now != era {
-			if restored := era > 0; restored {
-				// Changes that have the revisions of earlier ones would be missed.
-				revision = -1
-				sleep(ctx, restoredWait)
-				continue
-			}
-			era = now
+		if latest := g.Store.Era(); era > 0 && latest != era {
+			// Changes that have the revisions of earlier ones would be missed.
+			revision = -1
+			sleep(ctx, restoredWait)
+			continue
+		} else if era == 0 { // The first answer states the era.
+			era = latest
 		}
 		if errors.Is(err, keyvalue.ErrCompacted) {
 			revision = -1
