gateway: see a restore before the record that was read after it

Cause: a report could not be recorded while the store was away, so that the record was read again; that read was the first call after the restore, and its older record was taken for the last one before the duty had noted the new era.

Change: if the read of the record shows another era, the era is passed to the duty first, and the record is read again once the duty is confirmed.

Evidence: TestRecordReadInANewEraIsNotTakenForTheLast had two windows reported twice before, and passes now.

--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -11,6 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"apricotbridge/internal/accounting"
+	"apricotbridge/internal/keyvalue"
 )
 
 // recordedReports is a Reporter that keeps the first report of each window.
@@ -18,7 +19,13 @@
 	mu      sync.Mutex
 	windows map[accounting.Window]map[string]int64
 	latest  accounting.Window
-	errs    []error
+	// sent counts the reports of each window.
+	sent map[accounting.Window]int
+	errs []error
+}
+
+func newRecordedReports() *recordedReports {
+	return &recordedReports{windows: map[accounting.Window]map[string]int64{}, sent: map[accounting.Window]int{}}
 }
 
 func (r *recordedReports) Report(_ context.Context, h Holder, report Report) error {
@@ -32,6 +39,7 @@
 		r.windows[report.Window] = report.Requests
 	}
 	r.latest = max(r.latest, report.Window)
+	r.sent[report.Window]++
 	return nil
 }
 
@@ -46,7 +54,7 @@
 // with other counts, when the store has lost the record of the report.
 func TestWindowsAreReportedOnceAcrossARestore(t *testing.T) {
 	env := newTestEnv(t)
-	reports := &recordedReports{windows: map[accounting.Window]map[string]int64{}}
+	reports := newRecordedReports()
 	env.reporter = reports
 	env.addServer("s1", "plain", signedAnswer("ok"))
 	first := env.startReady("g1")
@@ -81,7 +89,7 @@
 // holder of the duty remembers.
 func TestHolderReportsEveryWindowAcrossARestore(t *testing.T) {
 	env := newTestEnv(t)
-	reports := &recordedReports{windows: map[accounting.Window]map[string]int64{}}
+	reports := newRecordedReports()
 	env.reporter = reports
 	env.addServer("s1", "plain", signedAnswer("ok"))
 	env.lease = 3 * time.Second
@@ -110,6 +118,71 @@
 	}
 }
 
+// restoredOnRead is a store that comes back from a copy when the record of the last report is
+// read, which is the first call that shows the new era.
+type restoredOnRead struct {
+	*store
+	mu    sync.Mutex
+	copy  *copied
+	shown int64
+}
+
+func (s *restoredOnRead) Era() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.shown
+}
+
+func (s *restoredOnRead) Get(ctx context.Context, key string) (keyvalue.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.copy != nil && key == reportedKey {
+		s.restore(*s.copy)
+		s.copy = nil
+		s.shown++
+	}
+	return s.store.Get(ctx, key)
+}
+
+func (s *restoredOnRead) CompareAndSwap(ctx context.Context, key string, value []byte, revision int64, lease string) (keyvalue.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.copy != nil && key == reportedKey {
+		return keyvalue.Entry{}, keyvalue.ErrUnavailable
+	}
+	return s.store.CompareAndSwap(ctx, key, value, revision, lease)
+}
+
+// TestRecordReadInANewEraIsNotTakenForTheLast guards against reporting windows again because the
+// read of their record is the first call that shows a restore.
+func TestRecordReadInANewEraIsNotTakenForTheLast(t *testing.T) {
+	env := newTestEnv(t)
+	reports := newRecordedReports()
+	store := &restoredOnRead{store: env.store, shown: 1}
+	env.reporter, env.gatewayStore, env.lease = reports, store, 3*time.Second
+	env.addServer("s1", "plain", signedAnswer("ok"))
+	gw := env.startReady("g1")
+	stop := press(t, 50*time.Millisecond, "/safe/x", gw)
+	latest := func() accounting.Window {
+		latest, _ := reports.withRequests()
+		return latest
+	}
+	waitFor(t, "a window is reported", func() bool { return latest() > 0 })
+	inCopy, before := latest(), env.store.copy()
+	waitFor(t, "two more are reported", func() bool { return latest() >= inCopy+2 })
+	store.mu.Lock()
+	store.copy = &before
+	store.mu.Unlock()
+	reported := latest()
+	waitFor(t, "three more are reported", func() bool { return latest() >= reported+3 })
+	stop()
+	for w := inCopy + 1; w <= reported; w++ {
+		if n := reports.sent[w]; n != 1 {
+			t.Errorf("window %d after that of the copy is reported %d times", w-inCopy, n)
+		}
+	}
+}
+
 // TestServersAreFollowedAfterARestore guards against taking what servers write after a restore for
 // old, because its revision is lower than that of what they wrote before.
 func TestServersAreFollowedAfterARestore(t *testing.T) {
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -114,9 +114,14 @@
 	if s.reportedLoaded {
 		return true
 	}
-	ctx, cancel := context.WithTimeout(ctx, dutyCallTimeout)
+	timed, cancel := context.WithTimeout(ctx, dutyCallTimeout)
 	defer cancel()
-	e, err := s.g.Store.Get(ctx, reportedKey)
+	e, err := s.g.Store.Get(timed, reportedKey)
+	if s.g.Store.Era() != s.era {
+		// The record is read again once the duty is confirmed in the new era.
+		s.performActions(ctx, s.noteEra())
+		return false
+	}
 	var r reportRecord
 	switch {
 	case errors.Is(err, keyvalue.ErrNotFound):
