--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -136,9 +136,7 @@
 	d.table = t
 	d.Router.SetTable(t)
 	d.grantFreeSlots(now)
-	for _, service := range t.LimitedServices() {
-		d.refuseExcess(now, service)
-	}
+	d.refuseExcess(now, t.LimitedServices()...)
 }
 
 // Submit queues a request or returns the problem with which it is refused.
@@ -176,10 +174,6 @@
 	return nil
 }
 
-func (d *Dispatcher) hasServer(service string) bool {
-	return d.Router.CountAccepting(d.table, service) > 0
-}
-
 func (d *Dispatcher) noServerProblem(service string) *problem.Problem {
 	p := problem.New(problem.NoCapacity, "service %q has no backend server that takes work", service)
 	p.RetryAfter = noServerRetryAfter + time.Duration(d.Rand.Int64N(int64(noServerRetryAfter)))
--- a/internal/dispatch/pause.go
+++ b/internal/dispatch/pause.go
@@ -23,11 +23,17 @@
 	d.refuseExcess(now, server.Service)
 }
 
-// refuseExcess refuses the waiting requests of a service that its servers do not take in time.
-func (d *Dispatcher) refuseExcess(now time.Time, service string) {
-	if !d.Router.IntakeUntil(now, now, d.table, service).Bounded {
-		return
+// refuseExcess refuses the waiting requests of services that their servers do not take in time.
+func (d *Dispatcher) refuseExcess(now time.Time, services ...string) {
+	for _, service := range services {
+		if d.Router.IntakeUntil(now, now, d.table, service).Bounded {
+			d.refuseExcessOf(now, service)
+		}
 	}
+}
+
+// refuseExcessOf does so for a service whose servers take a bounded number of requests.
+func (d *Dispatcher) refuseExcessOf(now time.Time, service string) {
 	var waiting []*Work
 	for _, w := range d.works {
 		if !w.running && w.Request.Service == service {
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -17,6 +17,10 @@
 	d.Quarantine.Configure(limits)
 }
 
+func (d *Dispatcher) hasServer(service string) bool {
+	return d.Router.CountAccepting(d.table, service) > 0
+}
+
 // Report records a server's load as of the given time.
 func (d *Dispatcher) Report(now, at time.Time, server string, incarnation int64, load routing.Load) {
 	d.mu.Lock()
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -80,32 +79,6 @@
 	s.entries[key] = e
 }
 
-// copied is the content of a store at a time.
-type copied struct {
-	entries  map[string]keyvalue.Entry
-	revision int64
-}
-
-func (s *store) copy() copied {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return copied{maps.Clone(s.entries), s.revision}
-}
-
-// restore brings the store back from a copy, in a new era.
-func (s *store) restore(c copied) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.entries, s.revision = maps.Clone(c.entries), c.revision
-	s.era++
-	for key, e := range s.entries {
-		e.Era = s.era
-		s.entries[key] = e
-	}
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
-
 // setFailures sets unavailable and watchesSilent.
 func (s *store) setFailures(unavailable, watchesSilent bool) {
 	s.mu.Lock()
@@ -199,12 +172,6 @@
 
 func (s *store) Renew(context.Context, string) error { return nil }
 
-func (s *store) Era() int64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.era
-}
-
 // decoder decodes the gateway's own types from JSON.
 type decoder struct{}
 
--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
 	"sync"
 	"testing"
@@ -14,6 +15,38 @@
 	"apricotbridge/internal/keyvalue"
 )
 
+// copied is the content of a store at a time.
+type copied struct {
+	entries  map[string]keyvalue.Entry
+	revision int64
+}
+
+func (s *store) copy() copied {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return copied{maps.Clone(s.entries), s.revision}
+}
+
+// restore brings the store back from a copy, in a new era.
+func (s *store) restore(c copied) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.entries, s.revision = maps.Clone(c.entries), c.revision
+	s.era++
+	for key, e := range s.entries {
+		e.Era = s.era
+		s.entries[key] = e
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) Era() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // recordedReports is a Reporter that keeps the first report of each window.
 type recordedReports struct {
 	mu      sync.Mutex
@@ -50,6 +83,19 @@
 	return r.latest, len(r.windows[r.latest]) > 0
 }
 
+// start starts a gateway under load and waits for its first report. latest returns the latest
+// window that was reported, and stop ends the load.
+func (r *recordedReports) start(env *testEnv) (latest func() accounting.Window, stop func() map[int]int) {
+	env.addServer("s1", "plain", signedAnswer("ok"))
+	stop = press(env.t, 50*time.Millisecond, "/safe/x", env.startReady("g1"))
+	latest = func() accounting.Window {
+		w, _ := r.withRequests()
+		return w
+	}
+	waitFor(env.t, "a window is reported", func() bool { return latest() > 0 })
+	return latest, stop
+}
+
 // TestWindowsAreReportedOnceAcrossARestore guards against reporting the usage of a window again,
 // with other counts, when the store has lost the record of the report.
 func TestWindowsAreReportedOnceAcrossARestore(t *testing.T) {
@@ -90,16 +136,8 @@
 func TestHolderReportsEveryWindowAcrossARestore(t *testing.T) {
 	env := newTestEnv(t)
 	reports := newRecordedReports()
-	env.reporter = reports
-	env.addServer("s1", "plain", signedAnswer("ok"))
-	env.lease = 3 * time.Second
-	gw := env.startReady("g1")
-	stop := press(t, 50*time.Millisecond, "/safe/x", gw)
-	latest := func() accounting.Window {
-		latest, _ := reports.withRequests()
-		return latest
-	}
-	waitFor(t, "a window is reported", func() bool { return latest() > 0 })
+	env.reporter, env.lease = reports, 3*time.Second
+	latest, stop := reports.start(env)
 	first, before := latest(), env.store.copy()
 	waitFor(t, "two more are reported", func() bool { return latest() >= first+2 })
 	env.store.setFailures(true, false)
@@ -160,14 +198,7 @@
 	reports := newRecordedReports()
 	store := &restoredOnRead{store: env.store, shown: 1}
 	env.reporter, env.gatewayStore, env.lease = reports, store, 3*time.Second
-	env.addServer("s1", "plain", signedAnswer("ok"))
-	gw := env.startReady("g1")
-	stop := press(t, 50*time.Millisecond, "/safe/x", gw)
-	latest := func() accounting.Window {
-		latest, _ := reports.withRequests()
-		return latest
-	}
-	waitFor(t, "a window is reported", func() bool { return latest() > 0 })
+	latest, stop := reports.start(env)
 	inCopy, before := latest(), env.store.copy()
 	waitFor(t, "two more are reported", func() bool { return latest() >= inCopy+2 })
 	store.mu.Lock()
