engine: don't pass on a token that comes after the idle timeout

Callers could get output that an engine sent after the daemon had given the stream up: the timer of the idle timeout only cancels the request, and what was read before the cancellation took effect, or before the timer ran in a process that had been suspended, was passed on as if it were in time.

Cause: each token set the timer again without a look at whether it had fired.

Change: a token whose timer has fired, or that comes later than the timeout by the clock, ends the attempt.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -76,7 +76,8 @@
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("X-Request-ID", streamID)
-	idleTimer := time.AfterFunc(c.idleTimeout(), cancel)
+	idle, waitingSince := c.idleTimeout(), time.Now()
+	idleTimer := time.AfterFunc(idle, cancel)
 	defer idleTimer.Stop()
 	res, err := c.httpClient().Do(req)
 	if err != nil {
@@ -92,7 +93,12 @@
 		onStart(headerLoad(res.Header))
 	}
 	return readTokens(res.Body, afterToken, func(t Token) error {
-		idleTimer.Reset(c.idleTimeout())
+		// A token can be read after the timer has fired, or before the timer runs if
+		// the process was suspended.
+		if !idleTimer.Reset(idle) || time.Since(waitingSince) > idle {
+			return errors.Annotatef(ErrBroken, "token %d came after the idle timeout of %v", t.Number, idle)
+		}
+		waitingSince = time.Now()
 		return onToken(t)
 	})
 }
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -72,6 +72,44 @@
 	}
 }
 
+// slowBody returns its parts one by one, each after a pause, and ignores that
+// the request was canceled.
+type slowBody struct {
+	pause time.Duration
+	parts []string
+}
+
+func (b *slowBody) Read(p []byte) (int, error) {
+	if len(b.parts) == 0 {
+		return 0, io.EOF
+	}
+	time.Sleep(b.pause)
+	n := copy(p, b.parts[0])
+	b.parts = b.parts[1:]
+	return n, nil
+}
+
+func (*slowBody) Close() error { return nil }
+
+// RoundTrip responds with the body.
+func (b *slowBody) RoundTrip(*http.Request) (*http.Response, error) {
+	return &http.Response{StatusCode: http.StatusOK, Body: b}, nil
+}
+
+// Guards against output that is passed on although it came after the idle timeout.
+func TestTokenAfterTheIdleTimeoutIsNotUsed(t *testing.T) {
+	b := &slowBody{pause: 100 * time.Millisecond, parts: []string{chunk("1", "late", "null")}}
+	c := &engine.Client{HTTP: &http.Client{Transport: b}, IdleTimeout: 20 * time.Millisecond}
+	var got []engine.Token
+	err := c.Stream(t.Context(), "engine", engine.Request{Body: []byte("{}")}, func(k engine.Token) error {
+		got = append(got, k)
+		return nil
+	})
+	if len(got) != 0 || !errors.Is(err, engine.ErrBroken) {
+		t.Errorf("%v and %v, want no token and %v", got, err, engine.ErrBroken)
+	}
+}
+
 // Guards against commands of a former lease holder after a new one has taken over:
 // an engine that checks fencing numbers refuses the lower number.
 func TestOldFencingNumberIsRefused(t *testing.T) {
