demo: a suspended process is no silence of the test's engine

All tokens have 7 bytes and the marked output after a silence has 5, so one marked token was passed on.

Cause: the test's engine sleeps twice the idle timeout at once. If the process is suspended meanwhile, the sleep is over when the process goes on, and the daemon reads the tokens before and after it in one go: it sees no silence, and no system can.

Change: the engine is silent in 20 short sleeps that add up to the same time.

--- a/internal/demo/misbehaving_test.go
+++ b/internal/demo/misbehaving_test.go
@@ -107,7 +107,9 @@
 			emit(n-2, "wrong ")
 			continue
 		case mode == modeStall && n == middle:
-			time.Sleep(2 * m.idle)
+			for range 20 { // Short sleeps: a suspension of the process is no silence of the engine.
+				time.Sleep(m.idle / 10)
+			}
 			emit(n, "late ")
 			continue
 		case mode == modeRepeat:
