demo: callers of the test send a refused request again

A dump of the goroutines shows 13 callers between two tries, and a log of the refusals "DeadlineUnreachable", not run.

Cause: the test took each 503 for a full queue of the link between daemons and asked for the events of the request. A request that was refused has none and never will; the answer tells its caller to come back.

--- a/internal/demo/misbehaving_test.go
+++ b/internal/demo/misbehaving_test.go
@@ -247,12 +247,25 @@
 			id, got, last := res.Header.Get("X-Request-ID"), "", 0
 			for {
 				if res.StatusCode == http.StatusServiceUnavailable {
-					_ = res.Body.Close() // The queue of the peer link was full; the caller retries.
+					var refusal problem.Problem
+					err := json.NewDecoder(res.Body).Decode(&refusal)
+					_ = res.Body.Close()
+					if err != nil {
+						t.Errorf("%s: refusal: %v", prompt, err)
+						return
+					}
 					mu.Lock()
 					counts["refused"]++
 					mu.Unlock()
 					time.Sleep(50 * time.Millisecond)
-					if res, err = resume(ctx, entries[random.IntN(2)], id, last); err != nil {
+					if refusal.Kind == problem.DeadlineUnreachable && last == 0 { // The request did not run; the caller sends it again.
+						if res, err = sendRequest(ctx, entries[random.IntN(2)], "POST", "/v1/completions", body, nil); err == nil {
+							id = res.Header.Get("X-Request-ID")
+						}
+					} else { // The queue of the peer link was full.
+						res, err = resume(ctx, entries[random.IntN(2)], id, last)
+					}
+					if err != nil {
 						t.Error(err)
 						return
 					}
