engine: don't count the reader's time as silence of the engine

A stream whose reader took longer than the idle timeout for one token, such as one that waits for room towards a slow caller, was broken off and tried at the next engine, although the first one had sent all of it.

Cause: the timer of the idle timeout ran on while a token was passed on.

Change: it is stopped when a token comes and set when the token has been passed on.

Evidence: TestSlowReaderIsNoSilence: "context canceled: stream of the engine broke off" in each run before, 0 of 5 after.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -95,11 +95,15 @@
 	return readTokens(res.Body, afterToken, func(t Token) error {
 		// A token can be read after the timer has fired, or before the timer runs if
 		// the process was suspended.
-		if !idleTimer.Reset(idle) || time.Since(waitingSince) > idle {
+		if !idleTimer.Stop() || time.Since(waitingSince) > idle {
 			return errors.Annotatef(ErrBroken, "token %d came after the idle timeout of %v", t.Number, idle)
 		}
+		if err := onToken(t); err != nil {
+			return err
+		}
 		waitingSince = time.Now()
-		return onToken(t)
+		idleTimer.Reset(idle)
+		return nil
 	})
 }
 
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -110,6 +110,25 @@
 	}
 }
 
+// Guards against a stream that is broken off because its reader is slow.
+func TestSlowReaderIsNoSilence(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, chunk("1", "a", "null"))
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(100 * time.Millisecond)
+		_, _ = io.WriteString(w, chunk("2", "b", `"stop"`)+"data: [DONE]\n\n")
+	}))
+	defer s.Close()
+	c := &engine.Client{IdleTimeout: 500 * time.Millisecond}
+	err := c.Stream(t.Context(), strings.TrimPrefix(s.URL, "http://"), engine.Request{Body: []byte("{}")}, func(engine.Token) error {
+		time.Sleep(time.Second)
+		return nil
+	})
+	if err != nil {
+		t.Error(err)
+	}
+}
+
 // Guards against commands of a former lease holder after a new one has taken over:
 // an engine that checks fencing numbers refuses the lower number.
 func TestOldFencingNumberIsRefused(t *testing.T) {
