--- a/internal/demo/misbehaving_test.go
+++ b/internal/demo/misbehaving_test.go
@@ -248,7 +248,7 @@
 			for {
 				if res.StatusCode == http.StatusServiceUnavailable {
 					var refusal problem.Problem
-					err := json.NewDecoder(res.Body).Decode(&refusal)
+					err = json.NewDecoder(res.Body).Decode(&refusal)
 					_ = res.Body.Close()
 					if err != nil {
 						t.Errorf("%s: refusal: %v", prompt, err)
@@ -259,13 +259,14 @@
 					mu.Unlock()
 					time.Sleep(50 * time.Millisecond)
 					if refusal.Kind == problem.DeadlineUnreachable && last == 0 { // The request did not run; the caller sends it again.
-						if res, err = sendRequest(ctx, entries[random.IntN(2)], "POST", "/v1/completions", body, nil); err == nil {
-							id = res.Header.Get("X-Request-ID")
+						if res, err = sendRequest(ctx, entries[random.IntN(2)], "POST", "/v1/completions", body, nil); err != nil {
+							t.Error(err)
+							return
 						}
-					} else { // The queue of the peer link was full.
-						res, err = resume(ctx, entries[random.IntN(2)], id, last)
+						id = res.Header.Get("X-Request-ID")
+						continue
 					}
-					if err != nil {
+					if res, err = resume(ctx, entries[random.IntN(2)], id, last); err != nil { // The queue of the peer link was full.
 						t.Error(err)
 						return
 					}
