adoption: fetch the last valid revision beside an invalid one

While an invalid configuration was stored, a daemon that started stayed without any configuration and served nobody, and one that had been cut off while the last valid one was applied kept an older one, in both cases until the next valid one was applied.

Cause: a digest shows the highest revision held, so that peers don't resend what can't be parsed. With the invalid revision read from the key-value service, the digest of the daemon equals that of its peers, and what they send is the highest they hold, the same invalid one. The key-value service holds the last value alone. So nobody sent the valid one below it.

Ruled out: slow polls (a store that is read sends the same value) and load by itself (8 copies at once passed, at most 0.81 s).

Change: a digest also names the revision in force if it is not the highest held, and a fetch names both of the sender; the receiver answers with each that is higher. A valid revision from a peer is put in force below a higher one that can't be parsed, whose alarm remains.

--- a/cmd/apricotbridge/configuration_process_test.go
+++ b/cmd/apricotbridge/configuration_process_test.go
@@ -92,6 +92,33 @@
 	return time.Time{}, false
 }
 
+// restartBesideInvalid applies a configuration, stores an invalid one over it, kills
+// and restarts a daemon and checks that the valid one comes into force there within
+// maxApplyDelay of its start.
+func (f *orderFleet) restartBesideInvalid(ctx context.Context, random *rand.Rand, watch func(i int)) {
+	f.t.Helper()
+	store := &keyvalue.Client{Address: f.keyValueURL, Timeout: time.Second}
+	valid, err := operations.Apply(ctx, store, "test", bytes.Replace(samples.Shrestha, []byte("Annex"), []byte("Restart"), 1), nil)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if _, err := store.CompareAndSwap(ctx, "config", []byte("{"), valid.Revision, ""); err != nil {
+		f.t.Fatal(err)
+	}
+	i := f.injectFailure("kill", random)
+	watch(i)
+	time.Sleep(maxApplyDelay + 500*time.Millisecond)
+	f.mu.Lock()
+	id := f.ids[i]
+	f.mu.Unlock()
+	stopped, cancel := context.WithTimeout(ctx, 100*time.Millisecond)
+	defer cancel()
+	w := watchRevision(stopped, f.t, id, f.daemon(i).addresses[1])
+	if len(w.observations) == 0 || w.observations[0].revision != valid.Revision {
+		f.t.Errorf("revision %d is not in force at %s, %v after its start: %+v", valid.Revision, id, maxApplyDelay, w.observations)
+	}
+}
+
 type timeRange struct{ from, to time.Time }
 
 // Guards against a configuration that reverts, that is not in force on every daemon
@@ -190,7 +217,7 @@
 	}
 	stopApplying()
 	operators.Wait()
-	time.Sleep(maxApplyDelay + 500*time.Millisecond)
+	f.restartBesideInvalid(ctx, random, watch)
 	last, err := operations.Apply(ctx, &keyvalue.Client{Address: f.keyValueURL, Timeout: time.Second}, "test", samples.Shrestha, nil)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/adoption/adoption.go
+++ b/internal/adoption/adoption.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -64,6 +65,9 @@
 type Source struct {
 	Kind SourceKind
 	Peer string
+	// InForce is the number in force at the sender of a Digest; 0 means that of the
+	// revision.
+	InForce int64
 }
 
 // Confirmation is the degree to which the revision in force is confirmed.
@@ -124,6 +128,7 @@
 type peerState struct {
 	Peer
 	shownRevision  int64     // The revision in its last message.
+	shownInForce   int64     // The revision in force, by its last digest.
 	pushedRevision int64     // The last revision that was pushed to it.
 	pushedAt       time.Time // When pushedRevision was pushed.
 	fetchedAt      time.Time // When a fetch from it was last started; zero for never.
@@ -150,7 +155,8 @@
 	// newest is the highest revision held. It is above inForce when it can't be
 	// parsed; it is still sent to peers, because they may be able to parse it.
 	newest       Revision
-	highestShown int64 // The highest number received from any source.
+	unparsable   map[int64]bool // The revisions above inForce that can't be parsed.
+	highestShown int64          // The highest number received from any source.
 	peers        map[string]*peerState
 
 	started          time.Time
@@ -173,9 +179,24 @@
 // held, so that peers do not resend a revision that this daemon can't parse.
 func (s *State) DigestRevision() int64 { return s.newest.Number }
 
-// NewestRevision returns the revision to send to a peer that fetches.
+// NewestRevision returns the highest revision held.
 func (s *State) NewestRevision() Revision { return s.newest }
 
+// Missing returns the revisions to send to a peer that fetches, in ascending order,
+// given the highest one that the peer holds and the one in force there. The one in
+// force here may be missing although the peer holds a higher one that can't be
+// parsed.
+func (s *State) Missing(held, inForce int64) []Revision {
+	var missing []Revision
+	if s.inForce.Number > inForce && s.inForce.Number != s.newest.Number {
+		missing = append(missing, s.inForce)
+	}
+	if s.newest.Number > held {
+		missing = append(missing, s.newest)
+	}
+	return missing
+}
+
 // Ready reports whether a starting daemon may serve: a revision is in force, and
 // either the key-value service has answered, or there are linked peers, all have
 // answered and no higher revision is missing, or maxStartWait has passed.
@@ -228,6 +249,9 @@
 			s.fetchingFrom = ""
 		}
 	case Digest:
+		if p := s.peers[from.Peer]; p != nil {
+			p.shownInForce = cmp.Or(from.InForce, r.Number)
+		}
 		s.highestShown = max(s.highestShown, r.Number)
 		if r.Number == s.inForce.Number && from.Peer != s.inForceSender {
 			s.confirmed = max(s.confirmed, ByPeers)
@@ -239,6 +263,8 @@
 		actions = s.holdNewer(now, r, from)
 	} else if r.Number == s.newest.Number && r.Number > 0 {
 		actions = s.confirmHeld(r, from)
+	} else if r.Number > s.inForce.Number {
+		actions = s.adoptBelowNewest(now, r, from)
 	}
 	return append(actions, s.fetchIfBehind(now)...)
 }
@@ -250,20 +276,49 @@
 	s.newest = r
 	var actions []Action
 	if err := s.Parse(r.Value); err != nil {
+		s.noteUnparsable(r.Number)
 		actions = s.raiseAlarm(nil, "newer revision can't be parsed, the last good one stays in force: "+err.Error())
 	} else {
-		s.inForce, s.inForceSender, s.lastAlarm = r, from.Peer, ""
-		s.confirmed = Unconfirmed
-		if from.Kind == KeyValue {
-			s.confirmed = ByKeyValue
-		} else {
-			s.nextRead = now.Add(s.randomDelay(maxConfirmDelay))
-		}
-		actions = append(actions, Action{Kind: Adopt, Revision: r})
+		s.lastAlarm = ""
+		actions = s.adopt(now, r, from)
 	}
 	return append(actions, s.pushNewest(now, from.Peer)...)
 }
 
+// adoptBelowNewest puts a revision from a peer in force although a higher one is held,
+// which can't be parsed. The alarm about the higher one remains.
+func (s *State) adoptBelowNewest(now time.Time, r Revision, from Source) []Action {
+	r.Value = bytes.Clone(r.Value)
+	if s.Parse(r.Value) != nil {
+		s.noteUnparsable(r.Number)
+		return nil
+	}
+	actions := s.adopt(now, r, from)
+	if s.lastAlarm != "" {
+		actions = append(actions, Action{Kind: Alarm, Revision: s.newest, Reason: s.lastAlarm})
+	}
+	return actions
+}
+
+// adopt puts a revision in force.
+func (s *State) adopt(now time.Time, r Revision, from Source) []Action {
+	s.inForce, s.inForceSender, s.confirmed = r, from.Peer, Unconfirmed
+	if from.Kind == KeyValue {
+		s.confirmed = ByKeyValue
+	} else {
+		s.nextRead = now.Add(s.randomDelay(maxConfirmDelay))
+	}
+	maps.DeleteFunc(s.unparsable, func(number int64, _ bool) bool { return number < r.Number })
+	return []Action{{Kind: Adopt, Revision: r}}
+}
+
+func (s *State) noteUnparsable(number int64) {
+	if s.unparsable == nil {
+		s.unparsable = map[int64]bool{}
+	}
+	s.unparsable[number] = true
+}
+
 // confirmHeld updates the confirmation after a revision that is already held was
 // received again.
 func (s *State) confirmHeld(r Revision, from Source) []Action {
@@ -312,12 +367,21 @@
 	return []Action{{Kind: PushTo, Revision: s.newest, Peers: []string{id}}}
 }
 
-// fetchIfBehind requests the revision of a peer that showed a higher one than the
-// newest held. The random delay applies to peers in the same data centre as well,
-// because they push the revision without a fetch when they receive the digest of this
-// daemon.
+// hasMissing reports whether a peer has shown a higher revision than the newest held,
+// or has one in force that is above the one in force here and may be parsed.
+func (s *State) hasMissing(p *peerState) bool {
+	return p.shownRevision > s.newest.Number || p.shownInForce > s.inForce.Number && !s.unparsable[p.shownInForce]
+}
+
+// fetchIfBehind requests the revisions that are missing here from a peer. The random
+// delay applies to peers in the same data centre as well, because they push the
+// newest revision without a fetch when they receive the digest of this daemon.
 func (s *State) fetchIfBehind(now time.Time) []Action {
-	if s.highestShown <= s.newest.Number {
+	behind := s.highestShown > s.newest.Number
+	for _, p := range s.peers {
+		behind = behind || s.hasMissing(p)
+	}
+	if !behind {
 		s.fetchDue = time.Time{}
 		return nil
 	}
@@ -332,7 +396,7 @@
 	}
 	var source *peerState
 	for _, p := range s.peers {
-		if p.shownRevision > s.newest.Number && (source == nil || preferredSource(p, source)) {
+		if s.hasMissing(p) && (source == nil || preferredSource(p, source)) {
 			source = p
 		}
 	}
--- a/internal/adoption/adoption_test.go
+++ b/internal/adoption/adoption_test.go
@@ -236,8 +236,8 @@
 		return nil
 	}}
 	s.SetPeers([]Peer{{ID: "a", SamePlace: true}, {ID: "b", SamePlace: true}})
-	s.Offer(epoch, Revision{3, []byte("good")}, Source{Push, "a"})
-	actions := s.Offer(epoch, Revision{5, []byte("broken")}, Source{Push, "a"})
+	s.Offer(epoch, Revision{3, []byte("good")}, Source{Kind: Push, Peer: "a"})
+	actions := s.Offer(epoch, Revision{5, []byte("broken")}, Source{Kind: Push, Peer: "a"})
 	if len(actions) != 2 || actions[0].Kind != Alarm || actions[1].Kind != PushTo || actions[1].Peers[0] != "b" {
 		t.Errorf("actions %+v", actions)
 	}
@@ -255,6 +255,32 @@
 	}
 }
 
+// Guards against a daemon that stays without the last valid revision because it has
+// started, or was cut off, when an invalid one was already stored.
+func TestInvalidRevisionDoesNotHideTheLastValidOne(t *testing.T) {
+	for seed := range uint64(20) {
+		w := newWorld(seed, deployment(12))
+		late := w.nodes[len(w.nodes)-1]
+		for _, n := range w.nodes {
+			if n != late {
+				w.start(n)
+			}
+		}
+		w.partitions = []span{{from: epoch.Add(2 * time.Second), to: epoch.Add(5 * time.Second)}}
+		w.after(time.Second, func() { w.commit("value") })
+		var valid Revision
+		w.after(3*time.Second, func() { valid = w.commit("value") })
+		w.after(4*time.Second, func() { w.commit("broken") })
+		w.after(6*time.Second, func() { w.start(late) })
+		w.run(9 * time.Second)
+		for _, n := range w.nodes {
+			if r, _ := n.state.InForce(); r.Number != valid.Number {
+				t.Errorf("seed %d: revision %d in force at %s, want %d", seed, r.Number, n.ID, valid.Number)
+			}
+		}
+	}
+}
+
 // Guards against a daemon that starts during an outage and serves with an older
 // revision than a reachable peer has.
 func TestStartInOutage(t *testing.T) {
@@ -262,17 +288,17 @@
 	s.SetPeers([]Peer{{ID: "a", SamePlace: true}, {ID: "b"}})
 	s.Tick(epoch)
 	s.ReadFailed(epoch)
-	s.Offer(epoch, Revision{7, []byte("7")}, Source{Push, "a"})
+	s.Offer(epoch, Revision{7, []byte("7")}, Source{Kind: Push, Peer: "a"})
 	if s.Ready(epoch) {
 		t.Error("ready before the other peer has answered")
 	}
-	s.Offer(epoch, Revision{Number: 9}, Source{Digest, "b"})
+	s.Offer(epoch, Revision{Number: 9}, Source{Kind: Digest, Peer: "b"})
 	at := epoch.Add(maxFetchDelay)
 	if a := s.Tick(at); len(a) == 0 || a[len(a)-1].Kind != Fetch || a[len(a)-1].Peers[0] != "b" {
 		t.Errorf("actions %+v", a)
 	}
-	s.Offer(at, Revision{9, []byte("9")}, Source{Push, "b"})
-	s.Offer(at, Revision{Number: 9}, Source{Digest, "a"})
+	s.Offer(at, Revision{9, []byte("9")}, Source{Kind: Push, Peer: "b"})
+	s.Offer(at, Revision{Number: 9}, Source{Kind: Digest, Peer: "a"})
 	if r, c := s.InForce(); r.Number != 9 || c != ByPeers || !s.Ready(at) {
 		t.Errorf("revision %d %s in force, ready %t", r.Number, c, s.Ready(at))
 	}
--- a/internal/adoption/sim_test.go
+++ b/internal/adoption/sim_test.go
@@ -167,8 +167,10 @@
 
 func (w *world) sendDigests(n *node) {
 	for _, p := range n.links {
-		number := n.state.DigestRevision()
-		w.send(n, p, 100, func() { w.offer(p, Revision{Number: number}, Source{Digest, n.ID}, 0) })
+		number, inForce := n.state.DigestRevision(), n.state.inForce.Number
+		w.send(n, p, 100, func() {
+			w.offer(p, Revision{Number: number}, Source{Kind: Digest, Peer: n.ID, InForce: inForce}, 0)
+		})
 	}
 }
 
@@ -218,7 +220,7 @@
 	if n.Region != to.Region {
 		w.crossRegionBytes += len(r.Value)
 	}
-	w.send(n, to, len(r.Value), func() { w.offer(to, r, Source{Push, n.ID}, hops) })
+	w.send(n, to, len(r.Value), func() { w.offer(to, r, Source{Kind: Push, Peer: n.ID}, hops) })
 }
 
 func (w *world) perform(n *node, actions []Action) {
@@ -230,8 +232,9 @@
 			}
 		case Fetch:
 			p := w.node(a.Peers[0])
+			held, inForce := n.state.DigestRevision(), n.state.inForce.Number
 			w.send(n, p, 50, func() {
-				if r := p.state.NewestRevision(); r.Number > 0 {
+				for _, r := range p.state.Missing(held, inForce) {
 					w.sendRevision(p, n, r)
 				}
 			})
--- a/internal/entry/adopt.go
+++ b/internal/entry/adopt.go
@@ -63,8 +63,9 @@
 				c.logSendError(id, peer.Send(c.d.hub, id, message.KindConfiguration, m))
 			}
 		case adoption.Fetch:
+			inForce, _ := c.adoption.InForce()
 			for _, id := range a.Peers {
-				c.logSendError(id, peer.Send(c.d.hub, id, message.KindFetch, message.Fetch{Above: c.adoption.DigestRevision()}))
+				c.logSendError(id, peer.Send(c.d.hub, id, message.KindFetch, message.Fetch{Above: c.adoption.DigestRevision(), InForce: inForce.Number}))
 			}
 		case adoption.Alarm:
 			c.view.Alarm = a.Reason
--- a/internal/entry/gossip.go
+++ b/internal/entry/gossip.go
@@ -98,9 +98,13 @@
 	}
 	c.d.hub.KeepLinks(targets)
 	c.updateAdoptionPeers()
-	sendToPeers(c, "", message.KindDigest, message.Digest{
+	digest := message.Digest{
 		Revision: c.adoption.DigestRevision(), Members: c.members.Hash(), Quarantine: c.d.dispatcher.SuspectsHash(), Draining: c.view.Draining,
-	})
+	}
+	if r, _ := c.adoption.InForce(); r.Number != digest.Revision {
+		digest.InForce = r.Number
+	}
+	sendToPeers(c, "", message.KindDigest, digest)
 	c.pushSuspects()
 }
 
@@ -157,12 +161,10 @@
 		})
 	case message.KindFetch:
 		decodeAndPost(d, e, func(c *controlState, _ time.Time, m message.Fetch) {
-			held := c.adoption.NewestRevision()
-			if held.Number <= m.Above {
-				return
+			for _, r := range c.adoption.Missing(m.Above, m.InForce) {
+				reply := message.Configuration{Revision: r.Number, Value: message.Compress(r.Value)}
+				c.logSendError(from.Daemon, peer.Send(c.d.hub, from.Daemon, message.KindConfiguration, reply))
 			}
-			reply := message.Configuration{Revision: held.Number, Value: message.Compress(held.Value)}
-			c.logSendError(from.Daemon, peer.Send(c.d.hub, from.Daemon, message.KindConfiguration, reply))
 		})
 	case message.KindMembers:
 		decodeAndPost(d, e, func(c *controlState, now time.Time, m message.Members) { c.mergeMembers(now, m) })
@@ -200,7 +202,7 @@
 	if c.daemons.MessageReceived(now, other) {
 		sendToPeers(c, from.Daemon, message.KindMembers, message.Members{Daemons: []message.Daemon{other.Message()}})
 	}
-	c.offerRevision(now, adoption.Revision{Number: m.Revision}, adoption.Source{Kind: adoption.Digest, Peer: from.Daemon})
+	c.offerRevision(now, adoption.Revision{Number: m.Revision}, adoption.Source{Kind: adoption.Digest, Peer: from.Daemon, InForce: m.InForce})
 	if m.Members != c.members.Hash() {
 		c.repairMembers(now, from.Daemon)
 	}
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -99,13 +99,17 @@
 	// Whether the sender is leaving.
 	Draining bool `json:"Draining"`
 
+	// Configuration revision in force if it is not Revision, which can't be parsed; 0
+	// if it is, or if there is none.
+	InForce int64 `json:"InForce,omitempty,omitzero"`
+
 	// Hash of the backend server states.
 	Members uint64 `json:"Members"`
 
 	// Hash of the quarantine list.
 	Quarantine uint64 `json:"Quarantine"`
 
-	// Configuration revision in force.
+	// Highest configuration revision held.
 	Revision int64 `json:"Revision"`
 
 	// Hash of the usage counters.
@@ -127,10 +131,14 @@
 	Records []SuspectRecord `json:"Records"`
 }
 
-// Fetch requests the configuration of the receiver.
+// Fetch requests the configurations of the receiver that the sender lacks.
 type Fetch struct {
-	// Revision of the sender; the receiver answers only with a higher one.
+	// Highest revision of the sender; the receiver answers with a higher one.
 	Above int64 `json:"Above"`
+
+	// Revision in force at the sender, 0 for none; the receiver also answers with a
+	// higher one in force.
+	InForce int64 `json:"InForce,omitempty,omitzero"`
 }
 
 // Forward passes a request to the holder of its ledger shard or stream.
