entry: peers learn of a drain before the daemon's grace is over

Callers that used a list of entries within its time could be cut off by the end of a drained daemon: POST /v1/completions got EOF.

Cause: peers learn of a drain from the next digest, up to 1 s later, and name the daemon in the lists that they give out until then. Such a list may be used until 2 s after the start of the drain; the daemon stays for the time of a list and a grace of 0.5 s, 1.5 s in all.

Ruled out: the caller alone being late.

Change: a daemon sends a digest when its drain begins.

--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -93,9 +93,12 @@
 		if deadline.IsZero() {
 			deadline = time.Now().Add(d.Settings.DrainTimeout.Or(defaultDrainTimeout))
 		}
-		d.post(ctx, func(c *controlState, _ time.Time) {
+		d.post(ctx, func(c *controlState, now time.Time) {
 			c.view.Draining = true
 			c.daemons.Drain()
+			// drainGrace is shorter than digestPeriod, so peers can't wait for the next digest.
+			c.exchange.lastDigestAt = time.Time{}
+			c.gossip(now)
 		})
 		close(d.draining)
 		d.Log.Info("drain started", "Deadline", deadline)
