--- a/internal/demo/drain_test.go
+++ b/internal/demo/drain_test.go
@@ -35,21 +35,10 @@
 // during its drain may still be used.
 func TestDrainOutlastsListsOfPeers(t *testing.T) {
 	const keep = time.Second
-	p, err := NewPlatform(t.Context(), logr.Discard(), 1)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		p.Close()
-		http.DefaultClient.CloseIdleConnections()
-	})
-	p.AdjustSettings = func(s *settings.Settings) {
+	p := newTestPlatform(t, logr.Discard(), samples.Shrestha, func(s *settings.Settings) {
 		d := config.Duration(keep)
 		s.EntriesKeep = &d
-	}
-	if err := p.Apply(t.Context(), samples.Shrestha); err != nil {
-		t.Fatal(err)
-	}
+	})
 	if err := p.StartService(Backend{ID: "khata-1", Service: "khata-app", Place: "asan", Region: "bagmati", Class: "small"}, &standin.Service{}); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/demo/misbehaving_test.go
+++ b/internal/demo/misbehaving_test.go
@@ -130,21 +130,10 @@
 // alone is set, a correct one.
 func startMisbehavingPlatform(t *testing.T, m *misbehavingEngine, alone bool) *Platform {
 	t.Helper()
-	p, err := NewPlatform(t.Context(), logr.Discard(), 1)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		p.Close()
-		http.DefaultClient.CloseIdleConnections()
-	})
-	p.AdjustSettings = func(s *settings.Settings) {
+	p := newTestPlatform(t, logr.Discard(), samples.Shrestha, func(s *settings.Settings) {
 		idle := config.Duration(m.idle)
 		s.StreamIdle = &idle
-	}
-	if err := p.Apply(t.Context(), samples.Shrestha); err != nil {
-		t.Fatal(err)
-	}
+	})
 	if err := p.startBackend(Backend{ID: "bad", Service: "sahayak-llm", Place: "asan", Region: "bagmati", Class: "accelerator-8"}, m, nil); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/demo/platform_test.go
+++ b/internal/demo/platform_test.go
@@ -10,9 +10,11 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/go-logr/logr/testr"
 	"go.uber.org/goleak"
 
+	"apricotbridge/internal/settings"
 	"apricotbridge/internal/standin"
 	"apricotbridge/samples"
 )
@@ -26,10 +28,11 @@
 	return startSmallPlatformWith(t, samples.Shrestha)
 }
 
-// startSmallPlatformWith is startSmallPlatform with another configuration.
-func startSmallPlatformWith(t *testing.T, configuration []byte) *Platform {
+// newTestPlatform returns a platform with the configuration, without servers and
+// daemons, and closes it at the end of the test. adjust may be nil.
+func newTestPlatform(t *testing.T, log logr.Logger, configuration []byte, adjust func(*settings.Settings)) *Platform {
 	t.Helper()
-	p, err := NewPlatform(t.Context(), testr.New(t), 1)
+	p, err := NewPlatform(t.Context(), log, 1)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -37,9 +40,17 @@
 		p.Close()
 		http.DefaultClient.CloseIdleConnections()
 	})
+	p.AdjustSettings = adjust
 	if err := p.Apply(t.Context(), configuration); err != nil {
 		t.Fatal(err)
 	}
+	return p
+}
+
+// startSmallPlatformWith is startSmallPlatform with another configuration.
+func startSmallPlatformWith(t *testing.T, configuration []byte) *Platform {
+	t.Helper()
+	p := newTestPlatform(t, testr.New(t), configuration, nil)
 	for i, place := range []string{"asan", "bhaktapur"} {
 		e := &standin.Engine{Slots: 4, TokenTime: 5 * time.Millisecond, CacheTokens: 1 << 16}
 		b := Backend{ID: fmt.Sprintf("engine-%d", i), Service: "sahayak-llm", Place: place, Region: "bagmati", Class: "accelerator-8"}
--- a/internal/demo/poison_test.go
+++ b/internal/demo/poison_test.go
@@ -27,17 +27,7 @@
 func TestPoisonousRequestCostsFewEngines(t *testing.T) {
 	t.Parallel()
 	const daemons, engines, sends = 6, 10, 50
-	p, err := NewPlatform(t.Context(), logr.Discard(), 1)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		p.Close()
-		http.DefaultClient.CloseIdleConnections()
-	})
-	if err := p.Apply(t.Context(), samples.Shrestha); err != nil {
-		t.Fatal(err)
-	}
+	p := newTestPlatform(t, logr.Discard(), samples.Shrestha, nil)
 	places := []string{"asan", "bhaktapur"}
 	for i := range engines {
 		e := &standin.Engine{Slots: 32, TokenTime: 5 * time.Millisecond, CacheTokens: 1 << 16}
