entry: try the hand-over of a request again during a drain

A stream that lasts longer than the drain of its daemon was cut off with "request was cancelled" at the deadline, although another daemon could have taken it over for most of the drain.

Cause: a hand-over was tried once. If no daemon was reachable at that moment, or none accepted within its time, the request stayed until the deadline. With no daemon to ask, the running attempt was interrupted all the same.

Change: a hand-over is asked for only when there is a daemon to ask, and again each half second while the request would not be done in time.

Evidence: TestStreamIsHandedOverToADaemonThatStartsLater: before, cut off 7 s after the drain began, a daemon having started after 1 s; after, moved and whole.

--- a/internal/demo/handover_test.go
+++ b/internal/demo/handover_test.go
@@ -6,6 +6,11 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/go-logr/logr/testr"
+
+	"apricotbridge/internal/standin"
+	"apricotbridge/samples"
 )
 
 // Guards against a stream that is cut off or repeats or loses text when the
@@ -29,18 +34,68 @@
 	if whole || moved == "" {
 		t.Fatalf("complete: %v, moved to %q after %d bytes", whole, moved, len(text))
 	}
-	events := strings.Count(text, " ")
-	header := http.Header{"Last-Event-ID": {strconv.Itoa(events)}, "Accept": {"text/event-stream"}}
-	res, err = sendRequest(t.Context(), moved, "GET", "/v1/requests/"+id, "", header)
+	checkMovedStream(t, moved, id, text, fullText("a long dossier", tokens))
+	if err := <-p.daemonByID["daemon-0"].result; err != nil {
+		t.Errorf("daemon that drained: %v", err)
+	}
+}
+
+// checkMovedStream resumes a stream of which text was read at the daemon that it
+// moved to, and checks its whole text.
+func checkMovedStream(t *testing.T, moved, id, text, want string) {
+	t.Helper()
+	header := http.Header{"Last-Event-ID": {strconv.Itoa(strings.Count(text, " "))}, "Accept": {"text/event-stream"}}
+	res, err := sendRequest(t.Context(), moved, "GET", "/v1/requests/"+id, "", header)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer res.Body.Close()
 	rest, whole := readStream(t, res, nil)
-	if want := fullText("a long dossier", tokens); !whole || text+rest != want {
+	if !whole || text+rest != want {
 		t.Errorf("complete: %v, text of %d and %d bytes, want %d", whole, len(text), len(rest), len(want))
 	}
-	if err := <-p.daemonByID["daemon-0"].result; err != nil {
-		t.Errorf("daemon that drained: %v", err)
+}
+
+// Guards against a stream that is cut off at the end of a drain although a daemon
+// could have taken it over, because none could when the drain began.
+func TestStreamIsHandedOverToADaemonThatStartsLater(t *testing.T) {
+	p := newTestPlatform(t, testr.New(t), samples.Shrestha, nil)
+	e := &standin.Engine{Slots: 4, TokenTime: 5 * time.Millisecond, CacheTokens: 1 << 16}
+	if err := p.StartEngine(Backend{ID: "engine", Service: "sahayak-llm", Place: "asan", Region: "bagmati", Class: "accelerator-8"}, e); err != nil {
+		t.Fatal(err)
+	}
+	if err := p.StartService(Backend{ID: "khata-1", Service: "khata-app", Place: "asan", Region: "bagmati", Class: "small"}, &standin.Service{}); err != nil {
+		t.Fatal(err)
+	}
+	leaving, err := p.StartDaemon("daemon-0", "asan", "bagmati")
+	if err != nil {
+		t.Fatal(err)
+	}
+	waitUntilServing(t, leaving.CallerAddress())
+	const tokens = 2000 // Takes about 10 s, longer than the drain.
+	body := `{"model":"sahayak-llm","prompt":"a long dossier","max_tokens":2000,"stream":true}`
+	res, err := sendRequest(t.Context(), leaving.CallerAddress(), "POST", "/v1/completions", body, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	id := res.Header.Get("X-Request-ID")
+	started := make(chan error, 1)
+	text, whole, moved := readMoved(t, res, func(n int) {
+		if n != 50 {
+			return
+		}
+		leaving.Drain(t.Context(), time.Now().Add(7*time.Second))
+		go func() {
+			time.Sleep(time.Second)
+			_, err := p.StartDaemon("daemon-1", "asan", "bagmati")
+			started <- err
+		}()
+	})
+	if err := <-started; err != nil {
+		t.Fatal(err)
+	}
+	if whole || moved == "" {
+		t.Fatalf("complete: %v, moved to %q after %d bytes", whole, moved, len(text))
 	}
+	checkMovedStream(t, moved, id, text, fullText("a long dossier", tokens))
 }
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -29,9 +29,8 @@
 	durable   bool
 	// streaming is set when the caller asked for a stream.
 	streaming bool
-	// handOverRequested is closed when the request has to move to another daemon.
+	// handOverRequested holds a value when the request has to move to another daemon.
 	handOverRequested chan struct{}
-	handOverOnce      sync.Once
 	// cancel ends the request when nobody has read its answer for unreadTimeout.
 	cancel context.CancelFunc
 
@@ -46,6 +45,8 @@
 	problem          *problem.Problem
 	// movedTo is the caller address of the daemon that continues the answer.
 	movedTo string
+	// nextHandOver is the earliest time of the next hand-over.
+	nextHandOver time.Time
 	// quarantineOwner is the id of the daemon that runs a suspect request in
 	// quarantine; the answer is relayed from there.
 	quarantineOwner string
@@ -87,7 +88,7 @@
 	return &answer{
 		id: call.id, organisation: call.organisation, model: call.model, chat: call.chat, created: call.received,
 		priority: call.priority, maxTokens: call.maxTokens, durable: call.durable, streaming: call.streaming,
-		handOverRequested: make(chan struct{}), buffer: &stream.Buffer{}, changed: make(chan struct{}),
+		handOverRequested: make(chan struct{}, 1), buffer: &stream.Buffer{}, changed: make(chan struct{}),
 	}
 }
 
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -95,7 +95,7 @@
 				cancel(errServerLeaving)
 			}
 			cancel(errAttemptStopped) // Has no effect after errServerLeaving.
-		case <-m.handOverRequested:
+		case <-m.answer.handOverRequested:
 			cancel(errDaemonLeaving)
 		case <-ctx.Done():
 		}
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -26,6 +26,9 @@
 	maxHandoverTargets = 3
 	handoverTimeout    = time.Second
 	handoverPeriod     = 100 * time.Millisecond
+	// handoverRetryDelay is the time between two hand-overs of a request. Each one
+	// interrupts the running attempt.
+	handoverRetryDelay = 500 * time.Millisecond
 )
 
 // errDaemonLeaving is the cancellation cause of an attempt whose request is handed
@@ -36,16 +39,44 @@
 // the deadline, the most urgent first, until the context is cancelled.
 func (d *Daemon) handOverRequests(ctx context.Context, deadline time.Time) {
 	for ctx.Err() == nil {
-		timeLeft := time.Until(deadline) - handoverMargin
-		unfinished := d.answers.notDoneWithin(time.Now(), timeLeft)
+		now := time.Now()
+		unfinished := d.answers.notDoneWithin(now, deadline.Sub(now)-handoverMargin)
 		slices.SortFunc(unfinished, func(a, b *answer) int { return cmp.Compare(a.priority, b.priority) })
 		for _, a := range unfinished {
-			a.handOverOnce.Do(func() { close(a.handOverRequested) })
+			if len(d.handoverTargets(a.id)) > 0 {
+				a.requestHandOver(now)
+			}
 		}
 		sleep(ctx, handoverPeriod)
 	}
 }
 
+// requestHandOver asks for the hand-over of the request, unless the last one was
+// within handoverRetryDelay.
+func (a *answer) requestHandOver(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if now.Before(a.nextHandOver) {
+		return
+	}
+	a.nextHandOver = now.Add(handoverRetryDelay)
+	select {
+	case a.handOverRequested <- struct{}{}:
+	default: // The last request has not been followed yet.
+	}
+}
+
+// postponeHandOver allows the next hand-over after handoverRetryDelay.
+func (a *answer) postponeHandOver(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.nextHandOver = now.Add(handoverRetryDelay)
+	select {
+	case <-a.handOverRequested: // Requested while the last hand-over was tried.
+	default:
+	}
+}
+
 // notDoneWithin returns the answers that will not be complete within timeLeft.
 func (s *answers) notDoneWithin(now time.Time, timeLeft time.Duration) []*answer {
 	s.mu.Lock()
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -27,17 +27,15 @@
 	answer *answer
 	work   *dispatch.Work
 	// stop ends the running attempt; its value is whether the server is leaving.
-	// handOverRequested is closed when the request has to move to another daemon.
-	stop              chan bool
-	handOverRequested <-chan struct{}
-	failures          int
+	stop     chan bool
+	failures int
 }
 
 // runModelCall produces the answer of a request: it queues for a server and runs
 // attempts until one completes the answer. Each attempt continues after the tokens of
 // earlier ones.
 func (d *Daemon) runModelCall(ctx context.Context, call *modelCall, a *answer) *problem.Problem {
-	m := &modelRun{d: d, call: call, answer: a, stop: make(chan bool, 1), handOverRequested: a.handOverRequested}
+	m := &modelRun{d: d, call: call, answer: a, stop: make(chan bool, 1)}
 	m.work = d.modelWork(call, a, m.stop)
 	if d.handOverSuspect(ctx, call, a, m.work) {
 		return nil
@@ -56,7 +54,7 @@
 // runNextAttempt runs one attempt. It reports whether the request is finished at this
 // daemon.
 func (m *modelRun) runNextAttempt(ctx context.Context) (done bool, p *problem.Problem) {
-	grant, err := m.d.awaitGrant(ctx, m.work, m.handOverRequested)
+	grant, err := m.d.awaitGrant(ctx, m.work, m.answer.handOverRequested)
 	switch {
 	case errors.Is(err, errDaemonLeaving):
 		return m.handOver(ctx), nil
@@ -78,10 +76,10 @@
 }
 
 // handOver moves the request to another daemon. When none accepts it, it continues
-// here and no further hand-over is tried.
+// here until the next hand-over.
 func (m *modelRun) handOver(ctx context.Context) bool {
 	if !m.d.handOver(ctx, m.call, m.answer) {
-		m.handOverRequested = nil
+		m.answer.postponeHandOver(time.Now())
 		return false
 	}
 	m.d.dispatcher.Cancel(time.Now(), m.call.id)
