entry: hand over a request that was itself taken over

A stream of a daemon that was replaced was cut off with "request was cancelled" when the daemon that had taken it over was replaced in turn.

Cause: a request that was taken over resumes its stream at the engine without watching for a hand-over; only attempts of its own did. It stayed until the deadline of the second drain.

Traced in a run of six copies at once: request daemon-0.0b85 was handed over to daemon-1 at 5.7 s with 132 tokens; daemon-1 began to drain at 8.6 s and ended at its deadline at 12.6 s, with the stream at event 822.

Ruled out: load. It makes streams last into the second drain; without load the new test shows the same.

Change: the resumed stream is watched like an attempt and handed over again; if nobody takes it, it is resumed at its engine.

Evidence: TestStreamIsHandedOverTwice: before, "request was cancelled" at the end of the second drain; after, moved twice and whole.

--- a/internal/demo/handover_test.go
+++ b/internal/demo/handover_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-logr/logr/testr"
 
+	"apricotbridge/internal/entry"
 	"apricotbridge/internal/standin"
 	"apricotbridge/samples"
 )
@@ -40,6 +41,21 @@
 	}
 }
 
+// startSlowEngine starts a platform without daemons, whose engine takes 5 ms for a
+// token.
+func startSlowEngine(t *testing.T) *Platform {
+	t.Helper()
+	p := newTestPlatform(t, testr.New(t), samples.Shrestha, nil)
+	e := &standin.Engine{Slots: 4, TokenTime: 5 * time.Millisecond, CacheTokens: 1 << 16}
+	if err := p.StartEngine(Backend{ID: "engine", Service: "sahayak-llm", Place: "asan", Region: "bagmati", Class: "accelerator-8"}, e); err != nil {
+		t.Fatal(err)
+	}
+	if err := p.StartService(Backend{ID: "khata-1", Service: "khata-app", Place: "asan", Region: "bagmati", Class: "small"}, &standin.Service{}); err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
 // checkMovedStream resumes a stream of which text was read at the daemon that it
 // moved to, and checks its whole text.
 func checkMovedStream(t *testing.T, moved, id, text, want string) {
@@ -59,14 +75,7 @@
 // Guards against a stream that is cut off at the end of a drain although a daemon
 // could have taken it over, because none could when the drain began.
 func TestStreamIsHandedOverToADaemonThatStartsLater(t *testing.T) {
-	p := newTestPlatform(t, testr.New(t), samples.Shrestha, nil)
-	e := &standin.Engine{Slots: 4, TokenTime: 5 * time.Millisecond, CacheTokens: 1 << 16}
-	if err := p.StartEngine(Backend{ID: "engine", Service: "sahayak-llm", Place: "asan", Region: "bagmati", Class: "accelerator-8"}, e); err != nil {
-		t.Fatal(err)
-	}
-	if err := p.StartService(Backend{ID: "khata-1", Service: "khata-app", Place: "asan", Region: "bagmati", Class: "small"}, &standin.Service{}); err != nil {
-		t.Fatal(err)
-	}
+	p := startSlowEngine(t)
 	leaving, err := p.StartDaemon("daemon-0", "asan", "bagmati")
 	if err != nil {
 		t.Fatal(err)
@@ -99,3 +108,46 @@
 	}
 	checkMovedStream(t, moved, id, text, fullText("a long dossier", tokens))
 }
+
+// Guards against a stream that is cut off when the daemon that took it over is
+// drained as well.
+func TestStreamIsHandedOverTwice(t *testing.T) {
+	p := startSlowEngine(t)
+	daemonAt := map[string]*entry.Daemon{}
+	var address string
+	for _, id := range []string{"daemon-0", "daemon-1", "daemon-2"} {
+		d, err := p.StartDaemon(id, "asan", "bagmati")
+		if err != nil {
+			t.Fatal(err)
+		}
+		address = d.CallerAddress()
+		waitUntilServing(t, address)
+		daemonAt[address] = d
+	}
+	const tokens = 1800 // Takes about 9 s; each drain 4 s.
+	body := `{"model":"sahayak-llm","prompt":"a long dossier","max_tokens":1800,"stream":true}`
+	res, err := sendRequest(t.Context(), address, "POST", "/v1/completions", body, nil) //nolint:bodyclose // readMoved closes it.
+	if err != nil {
+		t.Fatal(err)
+	}
+	id, text := res.Header.Get("X-Request-ID"), ""
+	for range 2 {
+		part, whole, moved := readMoved(t, res, func(n int) {
+			if n == 50 {
+				daemonAt[address].Drain(t.Context(), time.Now().Add(4*time.Second))
+			}
+		})
+		if whole || moved == "" {
+			t.Fatalf("complete: %v, moved to %q after %d bytes", whole, moved, len(text)+len(part))
+		}
+		text, address = text+part, moved
+		header := http.Header{"Last-Event-ID": {strconv.Itoa(strings.Count(text, " "))}, "Accept": {"text/event-stream"}}
+		if res, err = sendRequest(t.Context(), moved, "GET", "/v1/requests/"+id, "", header); err != nil { //nolint:bodyclose // readMoved and readStream close it.
+			t.Fatal(err)
+		}
+	}
+	rest, whole := readStream(t, res, nil)
+	if want := fullText("a long dossier", tokens); !whole || text+rest != want {
+		t.Errorf("complete: %v, text of %d and %d bytes, want %d", whole, len(text), len(rest), len(want))
+	}
+}
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -225,24 +225,49 @@
 }
 
 // resumeHandedOver resumes the stream of a handed-over request at its engine. It
-// reports whether the answer is complete.
+// reports whether the request is finished at this daemon: the answer is complete, or
+// another daemon has taken the request over in turn.
 func (d *Daemon) resumeHandedOver(ctx context.Context, call *modelCall, a *answer) bool {
-	previous := call.previous
-	if previous == nil {
+	if call.previous == nil {
 		return false
 	}
-	number, prior, ok := a.beginAttempt()
+	m := &modelRun{d: d, call: call, answer: a, stop: make(chan bool, 1)}
+	for {
+		err := m.resumePrevious(ctx)
+		if !errors.Is(err, errDaemonLeaving) {
+			return err == nil
+		}
+		if m.handOver(ctx) {
+			return true
+		}
+	}
+}
+
+// resumePrevious resumes the stream of the previous attempt at its engine. It returns
+// nil when the answer is complete, and errDaemonLeaving when the request has to move
+// to another daemon.
+func (m *modelRun) resumePrevious(ctx context.Context) error {
+	ctx, end := m.watchStop(ctx)
+	defer end()
+	previous := m.call.previous
+	number, prior, ok := m.answer.beginAttempt()
 	if !ok {
-		return false
+		return errors.Annotate(errAttemptStopped, "answer accepts no further attempt")
 	}
-	err := d.Engine.Resume(ctx, previous.server.Address, previous.streamID, len(prior), func(t engine.Token) error {
-		return a.appendToken(number, t)
+	err := m.d.Engine.Resume(ctx, previous.server.Address, previous.streamID, len(prior), func(t engine.Token) error {
+		return m.answer.appendToken(number, t)
 	})
-	if (err == nil || a.hasAllTokens()) && a.completeAttempt(number) {
-		return true
+	if (err == nil || m.answer.hasAllTokens()) && m.answer.completeAttempt(number) {
+		return nil
+	}
+	m.answer.failAttempt(number)
+	if errors.Is(context.Cause(ctx), errDaemonLeaving) {
+		return errDaemonLeaving
+	}
+	if err == nil {
+		err = errors.Annotate(engine.ErrBroken, "answer is not complete")
 	}
-	a.failAttempt(number)
 	previous.streamAlive = previous.streamAlive && !errors.Is(err, engine.ErrNoStream) && !errors.Is(err, engine.ErrNotStarted)
-	d.Log.Info("stream of a request that was taken over broke off", "RequestID", call.id, "Server", previous.server.ID)
-	return false
+	m.d.Log.Info("stream of a request that was taken over broke off", "RequestID", m.call.id, "Server", previous.server.ID, "Error", err.Error())
+	return err
 }
