caller: remember the entry that a stream moved to

A caller reached no entry any more although daemons served: all entries that it had listed were replaced while it read a stream.

Cause: a new list is asked for at the configured entries and those of the last list. The entry that a moved event names was used for that stream alone.

Evidence: TestEntryOfAMovedStreamIsUsed: "connection refused" before, none after.

--- a/cmd/apricotbridge/caller_test.go
+++ b/cmd/apricotbridge/caller_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -91,6 +92,15 @@
 	}
 }
 
+// addEntry adds the entry of a moved event to the list.
+func (f *protocolCaller) addEntry(entry string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !slices.Contains(f.entries, entry) {
+		f.entries = append(f.entries, entry)
+	}
+}
+
 // expireEntries makes the next request fetch the list of entries.
 func (f *protocolCaller) expireEntries() {
 	f.mu.Lock()
@@ -185,6 +195,7 @@
 			return text, nil
 		case err == nil:
 			f.countOutcome("moved")
+			f.addEntry(movedTo)
 		default:
 			return text, errors.Annotatef(errInterrupted, "stream %s after event %d: %v", id, lastEvent, err)
 		}
--- a/pkg/caller/entries.go
+++ b/pkg/caller/entries.go
@@ -61,6 +61,16 @@
 	d.list = list
 }
 
+// add appends an entry to the list. A caller whose listed entries were all replaced
+// during a stream fetches a new list from the one that the stream moved to.
+func (d *directory) add(entry string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !slices.Contains(d.list, entry) {
+		d.list = append(slices.Clip(d.list), entry)
+	}
+}
+
 // current returns the list with failed entries at the end, and whether it is
 // still valid: not expired and with an entry that has not failed.
 func (d *directory) current(now time.Time) ([]string, bool) {
--- a/pkg/caller/stream.go
+++ b/pkg/caller/stream.go
@@ -210,6 +210,9 @@
 		if json.Unmarshal([]byte(e.Data), &named) == nil {
 			s.entry = named.Entry
 		}
+		if s.entry != "" {
+			s.c.directory.add(s.entry)
+		}
 		return Token{}, false, errMoved
 	case e.Data == "[DONE]":
 		return Token{}, false, errDone
--- a/pkg/caller/stream_test.go
+++ b/pkg/caller/stream_test.go
@@ -97,6 +97,31 @@
 	}
 }
 
+// Guards against a caller that reaches no entry because all those it has listed were
+// replaced during a stream, although the stream has moved to one that it can use.
+func TestEntryOfAMovedStreamIsUsed(t *testing.T) {
+	after := newEntry(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "data: [DONE]\n\n") })
+	before := newEntry(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = fmt.Fprintf(w, "id: 1\ndata: {\"choices\":[{\"text\":\"t1 \"}]}\n\nevent: moved\ndata: {\"Entry\":%q}\n\n", after.address())
+	})
+	client, _ := newClient(t, before.address())
+	stream, err := client.Stream(t.Context(), Prompt{Model: "m", Prompt: "p"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if text, err := readText(stream); err != nil || text != "t1 " {
+		t.Fatalf("error %v, text %q", err, text)
+	}
+	if err := stream.Close(); err != nil {
+		t.Fatal(err)
+	}
+	before.Close()
+	if _, err := client.Call(t.Context(), Call{Service: "s", Method: http.MethodPost, Path: "/"}); err != nil {
+		t.Error(err)
+	}
+}
+
 // TestStreamEnds guards against streams that hang, and against incomplete
 // streams that end without a problem.
 func TestStreamEnds(t *testing.T) {
