peer: a daemon that leaves says which calls it did not start

During a planned replacement an order was answered with "the daemon that ran the request is not reached any more": OutcomeUnknown, which its caller may not repeat without the same key.

Cause: a drained daemon ends once it has been idle for 250 ms. A peer with an older view may forward a request just then; the link ends without a word, and a request that may have been sent counts as possibly started. Traced in a run of six copies: daemon-3 was drained at 53.858 s, and the forward to it failed at 53.875 s with "EOF: link broke".

Ruled out: a longer idle time. It makes the case rarer under a given load and each drain longer.

Change: a daemon that leaves refuses further calls, answers those that it has started and closes its links with a close code of their own, after which the peers know that calls without an answer did not start. A link is read on for a moment after a failed write, since the close code may still be unread.

--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -126,6 +126,7 @@
 	select {
 	case <-d.activeRequests.whenIdle():
 		d.awaitIdle(ctx)
+		d.hub.Leave(ctx)
 		d.Log.Info("drain complete")
 	case <-ctx.Done():
 		d.Log.Info("drain ended at its deadline")
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -111,6 +111,13 @@
 	return unsent
 }
 
+// refuse ends the call of a peer that did not start it.
+func (c *call) refuse(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.finish(&CallError{Started: c.nextPart > 0, Err: err})
+}
+
 // next waits for the next part. It returns io.EOF after the last one.
 func (c *call) next(ctx context.Context) (message.ForwardAnswer, error) {
 	for {
--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -29,10 +29,14 @@
 	maxBackoff = 10 * time.Second
 )
 
-// Close codes of refused links, from the range for private use.
+// Close codes, from the range for private use.
 const (
+	// closeVersionMismatch and closeWrongToken refuse a link.
 	closeVersionMismatch websocket.StatusCode = 4001
 	closeWrongToken      websocket.StatusCode = 4002
+	// closeLeft means that the peer leaves and has answered all calls that it has
+	// started.
+	closeLeft websocket.StatusCode = 4003
 )
 
 // Errors of a refused link.
--- a/internal/peer/hub.go
+++ b/internal/peer/hub.go
@@ -6,9 +6,12 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -25,6 +28,9 @@
 	// DefaultWriteTimeout exceeds the 2.2 s that the largest message needs on a link of
 	// 30 Mbit/s, even while other traffic takes most of the link.
 	DefaultWriteTimeout = 10 * time.Second
+
+	// leavePoll is the period at which Leave checks for unanswered calls.
+	leavePoll = 5 * time.Millisecond
 )
 
 // Target is a peer to which a link is kept open.
@@ -71,6 +77,8 @@
 	cancel   context.CancelFunc
 	ctx      context.Context
 	wg       sync.WaitGroup
+	// leaving is set when no further calls of peers are served.
+	leaving atomic.Bool
 
 	mu      sync.Mutex
 	closed  bool
@@ -175,10 +183,10 @@
 // the one dialed by the daemon with the higher id, else the older one.
 func (h *Hub) register(l *link) bool {
 	h.mu.Lock()
-	if h.closed {
+	if h.closed || h.leaving.Load() {
 		h.mu.Unlock()
+		l.leave()
 		l.end()
-		_ = l.conn.CloseNow() // The hub is closed.
 		return false
 	}
 	first := true
@@ -282,6 +290,29 @@
 	return true
 }
 
+// Leave refuses further calls of peers, waits until the calls that were started are
+// answered and closes the links, so that peers know that the rest did not start. It
+// closes no link if the context ends before.
+func (h *Hub) Leave(ctx context.Context) {
+	h.init()
+	h.leaving.Store(true)
+	for !h.Flushed() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(leavePoll):
+		}
+	}
+	h.mu.Lock()
+	links := slices.Collect(maps.Keys(h.links))
+	h.mu.Unlock()
+	var group sync.WaitGroup
+	for _, l := range links {
+		group.Go(l.leave)
+	}
+	group.Wait()
+}
+
 // Peers returns the daemons with an open link.
 func (h *Hub) Peers() []message.Hello {
 	h.init()
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -20,6 +20,8 @@
 	// retiredLinger is how long an unused duplicate link stays open, so that calls can
 	// finish that the peer started before it saw the other link.
 	retiredLinger = 5 * time.Second
+	// closeReadTimeout is how long a link is read after a failed write.
+	closeReadTimeout = time.Second
 )
 
 // maxServedCalls limits the concurrent calls of one peer.
@@ -51,8 +53,17 @@
 	ctx, cancel := l.ctx, l.end
 	defer cancel()
 	var wg sync.WaitGroup
-	wg.Go(func() { defer cancel(); l.write(ctx) })
-	wg.Go(func() { defer cancel(); l.ping(ctx) })
+	for _, part := range []func(context.Context){l.write, l.ping} {
+		wg.Go(func() {
+			defer cancel()
+			part(ctx)
+			// The peer may have closed the link; its close code is still to be read.
+			select {
+			case <-ctx.Done():
+			case <-time.After(closeReadTimeout):
+			}
+		})
+	}
 	err := l.read(ctx, &wg)
 	cancel()
 	l.queue.close()
@@ -64,13 +75,23 @@
 	}
 	l.mu.Unlock()
 	for _, c := range calls {
-		c.fail(errors.Annotatef(ErrLinkBroken, "to %s: %v", l.peer.Daemon, err))
+		if websocket.CloseStatus(err) == closeLeft {
+			c.refuse(errors.Annotatef(ErrRefused, "%s has left", l.peer.Daemon))
+		} else {
+			c.fail(errors.Annotatef(ErrLinkBroken, "to %s: %v", l.peer.Daemon, err))
+		}
 	}
 	_ = l.conn.CloseNow() // Already closed if the peer or the reader closed it.
 	wg.Wait()
 	l.hub.Log.V(1).Info("link ended", "peer", l.peer.Daemon, "reason", err.Error())
 }
 
+// leave closes the link with the notice that all calls of the peer that were started
+// are answered.
+func (l *link) leave() {
+	_ = l.conn.Close(closeLeft, "daemon leaves") // The peer may have ended.
+}
+
 func (l *link) write(ctx context.Context) {
 	for {
 		select {
@@ -203,7 +224,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	w.ctx = ctx
 	l.mu.Lock()
-	refused := len(l.serving) >= maxServedCalls || l.serving[number] != nil || l.hub.Handler == nil
+	refused := l.hub.leaving.Load() || len(l.serving) >= maxServedCalls || l.serving[number] != nil || l.hub.Handler == nil
 	if !refused {
 		l.serving[number] = cancel
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -164,6 +164,52 @@
 	}
 }
 
+// Guards against calls whose outcome is unknown because their peer ended in the
+// ordinary way, and against calls that ran although they count as not started.
+func TestCallsOfAPeerThatLeaves(t *testing.T) {
+	for range 10 {
+		var mu sync.Mutex
+		ran := map[string]bool{}
+		b := startHub(t, "b", withForward(func(_ context.Context, f message.Forward, w ResponseWriter) {
+			mu.Lock()
+			ran[f.RequestID] = true
+			mu.Unlock()
+			time.Sleep(time.Millisecond)
+			_, _ = w.Write([]byte("done"))
+		}))
+		a := startHub(t, "a", nil)
+		var wg sync.WaitGroup
+		left := make(chan struct{})
+		for c := range 16 {
+			wg.Go(func() {
+				for n := 0; ; n++ {
+					id := fmt.Sprintf("%d.%d", c, n)
+					r, err := a.Forward(testContext(t), b.Self.PeerAddress, message.Forward{RequestID: id})
+					if err == nil {
+						_, err = readBody(r)
+					}
+					mu.Lock()
+					if err != nil && (mayHaveStarted(t, err) || ran[id]) {
+						t.Errorf("request %s, ran: %v: %v", id, ran[id], err)
+					}
+					mu.Unlock()
+					select {
+					case <-left:
+						return
+					default:
+					}
+				}
+			})
+		}
+		time.Sleep(30 * time.Millisecond)
+		b.Leave(testContext(t))
+		b.Close()
+		close(left)
+		wg.Wait()
+		a.Close()
+	}
+}
+
 // Guards against a handler that keeps running after its caller cancelled, and against
 // reporting a handler's failure as a complete response.
 func TestCancelledAndFailedCalls(t *testing.T) {
