caller: keep the list of entries while a stream is read

A caller reached no entry any more after a stream that had not moved: "refused 400 times", with 400 failed connections.

Cause: the list was fetched for a new request only. Traced in a run of six copies: the caller fetched its list before 12.65 s and read a stream until 24.68 s; the four daemons of the list were replaced meanwhile, the last of them ended at 24.90 s, and the next request came at 24.92 s.

Change: the list is fetched whenever it has expired, also during a stream. A fetch that its caller has cancelled no longer marks the entry as down.

Evidence: TestListIsFetchedDuringAStream: "connection refused" before, none after.

--- a/cmd/apricotbridge/caller_test.go
+++ b/cmd/apricotbridge/caller_test.go
@@ -83,6 +83,27 @@
 	return f.entries[f.random.IntN(len(f.entries))]
 }
 
+// keepEntries fetches the list of entries when it has expired, until the returned
+// function is called.
+func (f *protocolCaller) keepEntries(ctx context.Context) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for ctx.Err() == nil {
+			f.entry(ctx)
+			select {
+			case <-ctx.Done():
+			case <-time.After(200 * time.Millisecond):
+			}
+		}
+	}()
+	return func() {
+		cancel()
+		<-ended
+	}
+}
+
 // setEntries replaces the list of entries by that of a Draining problem.
 func (f *protocolCaller) setEntries(entries []string) {
 	f.mu.Lock()
@@ -186,6 +207,7 @@
 		return "", err
 	}
 	id, text, lastEvent := res.Header.Get("X-Request-ID"), "", 0
+	defer f.keepEntries(ctx)()
 	for range maxAttempts {
 		part, lastRead, movedTo, err := readEvents(res, lastEvent)
 		text += part
--- a/pkg/caller/entries.go
+++ b/pkg/caller/entries.go
@@ -24,6 +24,8 @@
 	// maxListLifetime bounds the lifetime of a list, whatever KeepSeconds the entry
 	// sent.
 	maxListLifetime = 5 * time.Minute
+	// minListWait is the least time between two fetches during a stream.
+	minListWait = 100 * time.Millisecond
 )
 
 // directory caches the list of entries that was fetched last.
@@ -118,6 +120,23 @@
 	return list
 }
 
+// keepEntries fetches a new list whenever the last one has expired, until the context
+// ends. All listed entries may be replaced while a stream is read, and the last of them
+// may be gone when it ends.
+func (c *Client) keepEntries(ctx context.Context) {
+	for {
+		c.directory.mu.Lock()
+		wait := max(time.Until(c.directory.expires), minListWait)
+		c.directory.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(wait):
+			c.entries(ctx)
+		}
+	}
+}
+
 // refresh fetches a new list. It tries the configured entries in random order,
 // which spreads the load of the callers, and then the entries of the old list.
 func (c *Client) refresh(ctx context.Context, old []string) {
@@ -139,6 +158,9 @@
 			return
 		}
 	}
+	if ctx.Err() != nil {
+		return // The list may still be fetched by another request.
+	}
 	if len(old) == 0 {
 		old = slices.Clone(c.Entries)
 	}
@@ -146,15 +168,17 @@
 }
 
 func (c *Client) fetchEntries(ctx context.Context, entry string) (list []string, lifetime time.Duration, ok bool) {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	fetchCtx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+entry+"/v1/entries", nil)
+	req, err := http.NewRequestWithContext(fetchCtx, http.MethodGet, "http://"+entry+"/v1/entries", nil)
 	if err != nil {
 		return nil, 0, false
 	}
 	res, err := c.http.Do(req)
 	if err != nil {
-		c.directory.markDown(entry, time.Now())
+		if ctx.Err() == nil {
+			c.directory.markDown(entry, time.Now())
+		}
 		return nil, 0, false
 	}
 	defer res.Body.Close()
--- a/pkg/caller/stream.go
+++ b/pkg/caller/stream.go
@@ -57,6 +57,9 @@
 	// failedResumes counts the resumes since the last new token.
 	failedResumes int
 	endErr        error
+	// listKept is closed when the goroutine that keeps the list of entries has ended;
+	// nil before it starts.
+	listKept chan struct{}
 }
 
 // Stream sends a prompt and returns the response token by token. The caller
@@ -115,6 +118,9 @@
 func (s *Stream) Close() error {
 	s.closeBody()
 	s.cancel()
+	if s.listKept != nil {
+		<-s.listKept
+	}
 	if s.endErr == nil {
 		s.endErr = io.EOF
 	}
@@ -122,6 +128,13 @@
 }
 
 func (s *Stream) open(body io.ReadCloser) {
+	if s.listKept == nil {
+		s.listKept = make(chan struct{})
+		go func() {
+			defer close(s.listKept)
+			s.c.keepEntries(s.ctx)
+		}()
+	}
 	// After the idle timeout, closing the body ends a blocked read.
 	s.idleTimer = time.AfterFunc(s.c.idleTimeout(), func() { _ = body.Close() })
 	s.body, s.events = body, NewEventReader(body)
@@ -158,6 +171,7 @@
 		s.closeBody()
 		if err := s.resumeOrEnd(err); err != nil {
 			s.endErr = err
+			s.cancel()
 		}
 	}
 	return Token{}, s.endErr
--- a/pkg/caller/stream_test.go
+++ b/pkg/caller/stream_test.go
@@ -97,14 +97,10 @@
 	}
 }
 
-// Guards against a caller that reaches no entry because all those it has listed were
-// replaced during a stream, although the stream has moved to one that it can use.
-func TestEntryOfAMovedStreamIsUsed(t *testing.T) {
-	after := newEntry(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "data: [DONE]\n\n") })
-	before := newEntry(t, func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "text/event-stream")
-		_, _ = fmt.Fprintf(w, "id: 1\ndata: {\"choices\":[{\"text\":\"t1 \"}]}\n\nevent: moved\ndata: {\"Entry\":%q}\n\n", after.address())
-	})
+// checkEntryReplacedDuringStream reads a stream of one token from an entry that ends
+// thereafter, and checks that the caller reaches another one.
+func checkEntryReplacedDuringStream(t *testing.T, before *scriptedEntry) {
+	t.Helper()
 	client, _ := newClient(t, before.address())
 	stream, err := client.Stream(t.Context(), Prompt{Model: "m", Prompt: "p"})
 	if err != nil {
@@ -122,6 +118,36 @@
 	}
 }
 
+// Guards against a caller that reaches no entry because all those it has listed were
+// replaced during a stream, although the stream has moved to one that it can use.
+func TestEntryOfAMovedStreamIsUsed(t *testing.T) {
+	after := newEntry(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "data: [DONE]\n\n") })
+	before := newEntry(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = fmt.Fprintf(w, "id: 1\ndata: {\"choices\":[{\"text\":\"t1 \"}]}\n\nevent: moved\ndata: {\"Entry\":%q}\n\n", after.address())
+	})
+	checkEntryReplacedDuringStream(t, before)
+}
+
+// Guards against a caller that reaches no entry because all those it has listed were
+// replaced during a stream that did not move.
+func TestListIsFetchedDuringAStream(t *testing.T) {
+	after := newEntry(t)
+	var before *scriptedEntry
+	before = newEntry(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, "id: 1\ndata: {\"choices\":[{\"text\":\"t1 \"}]}\n\n")
+		_ = http.NewResponseController(w).Flush() // Sends the token before the pause.
+		before.mu.Lock()
+		before.entries = []string{after.address()}
+		before.mu.Unlock()
+		time.Sleep(300 * time.Millisecond)
+		_, _ = io.WriteString(w, "data: [DONE]\n\n")
+	})
+	before.keepSeconds = 0.05
+	checkEntryReplacedDuringStream(t, before)
+}
+
 // TestStreamEnds guards against streams that hang, and against incomplete
 // streams that end without a problem.
 func TestStreamEnds(t *testing.T) {
