--- a/pkg/caller/entries.go
+++ b/pkg/caller/entries.go
@@ -89,6 +89,13 @@
 	return append(up, down...), now.Before(d.expires) && len(up) > 0
 }
 
+// timeLeft returns how long the list is still valid.
+func (d *directory) timeLeft(now time.Time) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.expires.Sub(now)
+}
+
 func (d *directory) set(list []string, until time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -125,13 +132,10 @@
 // may be gone when it ends.
 func (c *Client) keepEntries(ctx context.Context) {
 	for {
-		c.directory.mu.Lock()
-		wait := max(time.Until(c.directory.expires), minListWait)
-		c.directory.mu.Unlock()
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(wait):
+		case <-time.After(max(c.directory.timeLeft(time.Now()), minListWait)):
 			c.entries(ctx)
 		}
 	}
