peer: leaving does not wait for a peer that does not respond

A drain ended 5 s later than it could if one peer was frozen.

Change: Leave waits for half a second; the goroutines that close the links are among those that the hub waits for at its end, which cuts them off. A hub that is already closed refuses a new link without waiting.

--- a/internal/peer/hub.go
+++ b/internal/peer/hub.go
@@ -29,8 +29,10 @@
 	// 30 Mbit/s, even while other traffic takes most of the link.
 	DefaultWriteTimeout = 10 * time.Second
 
-	// leavePoll is the period at which Leave checks for unanswered calls.
-	leavePoll = 5 * time.Millisecond
+	// leavePoll is the period at which Leave checks for unanswered calls, and
+	// leaveTimeout how long it waits for peers to confirm the close.
+	leavePoll    = 5 * time.Millisecond
+	leaveTimeout = 500 * time.Millisecond
 )
 
 // Target is a peer to which a link is kept open.
@@ -184,9 +186,13 @@
 func (h *Hub) register(l *link) bool {
 	h.mu.Lock()
 	if h.closed || h.leaving.Load() {
+		closed := h.closed
 		h.mu.Unlock()
-		l.leave()
+		if !closed {
+			l.leave()
+		}
 		l.end()
+		_ = l.conn.CloseNow() // The hub is closed, or the peer has confirmed the close.
 		return false
 	}
 	first := true
@@ -292,7 +298,8 @@
 
 // Leave refuses further calls of peers, waits until the calls that were started are
 // answered and closes the links, so that peers know that the rest did not start. It
-// closes no link if the context ends before.
+// closes no link if the context ends before, and does not wait for peers that take
+// longer than leaveTimeout to confirm the close.
 func (h *Hub) Leave(ctx context.Context) {
 	h.init()
 	h.leaving.Store(true)
@@ -306,11 +313,25 @@
 	h.mu.Lock()
 	links := slices.Collect(maps.Keys(h.links))
 	h.mu.Unlock()
-	var group sync.WaitGroup
+	left := make(chan struct{}, len(links))
 	for _, l := range links {
-		group.Go(l.leave)
+		if !h.addGoroutine() {
+			return
+		}
+		go func() {
+			defer h.wg.Done()
+			l.leave()
+			left <- struct{}{}
+		}()
+	}
+	timeout := time.After(leaveTimeout)
+	for range links {
+		select {
+		case <-left:
+		case <-timeout:
+			return
+		}
 	}
-	group.Wait()
 }
 
 // Peers returns the daemons with an open link.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -210,6 +210,21 @@
 	}
 }
 
+// Guards against a drain that is held up by a peer that does not respond.
+func TestLeaveDoesNotWaitForASilentPeer(t *testing.T) {
+	b := startHub(t, "b", nil)
+	_ = dialRaw(t, b, encodedHello(t)) // Reads nothing, so it does not confirm the close.
+	ctx := testContext(t)
+	for len(b.Peers()) == 0 && ctx.Err() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	began := time.Now()
+	b.Leave(ctx)
+	if took := time.Since(began); took > 2*leaveTimeout {
+		t.Errorf("took %v, want at most %v", took, leaveTimeout)
+	}
+}
+
 // Guards against a handler that keeps running after its caller cancelled, and against
 // reporting a handler's failure as a complete response.
 func TestCancelledAndFailedCalls(t *testing.T) {
