cmd: the revision that is overwritten in the test is in force before

Traced in 9 of 48 short copies, 16 at once: revision 103 was applied at 46.801 s and overwritten by the invalid 104 at once; all daemons read 104 next, from 46.818 s on, and kept 95. Nobody had ever read 103, and the key-value service holds the last value alone, so no daemon can be asked for it. The restarted daemon had 95 as well, which it can only have had from its peers.

Change: the test waits, for maxApplyDelay at most, until the revision is in force at all daemons before it stores the invalid one, and then checks the restarted one as strictly as before. 8 of 8 copies at once pass at a load of 33.

--- a/cmd/apricotbridge/configuration_process_test.go
+++ b/cmd/apricotbridge/configuration_process_test.go
@@ -102,6 +102,7 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
+	f.waitForRevision(valid.Revision)
 	if _, err := store.CompareAndSwap(ctx, "config", []byte("{"), valid.Revision, ""); err != nil {
 		f.t.Fatal(err)
 	}
@@ -119,6 +120,27 @@
 	}
 }
 
+// waitForRevision waits until each daemon has the revision in force. The key-value
+// service holds the last value alone, so that nobody could send one that was
+// overwritten before it was read.
+func (f *orderFleet) waitForRevision(revision int64) {
+	f.t.Helper()
+	deadline := time.Now().Add(maxApplyDelay)
+	for i, id := range f.ids {
+		for {
+			ctx, cancel := context.WithTimeout(f.t.Context(), 50*time.Millisecond)
+			w := watchRevision(ctx, f.t, id, f.daemon(i).addresses[1])
+			cancel()
+			if _, ok := w.reached(revision); ok {
+				break
+			}
+			if time.Now().After(deadline) {
+				f.t.Fatalf("revision %d is not in force at %s within %v", revision, id, maxApplyDelay)
+			}
+		}
+	}
+}
+
 type timeRange struct{ from, to time.Time }
 
 // Guards against a configuration that reverts, that is not in force on every daemon
