peer: a daemon that leaves says so in a message, not in a close code

Cause: the closing handshake of a WebSocket connection and the goroutine that reads it compete for its frames; the daemon then closed the connection with unread data, and the reset overtook the close code. A link whose handshake was under way when the daemon left got no notice at all.

Change: a message Left is the last one on each link, in order behind the answers; the peer refuses its open calls and closes the link. The daemon waits for links that are being opened and refuses new ones.

A copy at times also said that a call that was refused had run, once with "connection refused": another copy had reached the same port after its own hub had freed it, with the same ids. The ids of the test now name the process; it leaves after the first answers, since at this load a hub could be closed before it ran.

--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -301,6 +301,7 @@
 const KindHandoverAccepted Kind = "HandoverAccepted"
 const KindHello Kind = "Hello"
 const KindLeaving Kind = "Leaving"
+const KindLeft Kind = "Left"
 const KindListing Kind = "Listing"
 const KindMembers Kind = "Members"
 const KindQuarantine Kind = "Quarantine"
@@ -325,6 +326,13 @@
 	Server string `json:"Server"`
 }
 
+// Left ends the calls on a link: the sender has answered all that it has started,
+// and starts no more.
+type Left struct {
+	// Id of the sender.
+	Daemon string `json:"Daemon"`
+}
+
 // Listing passes the result of reading the store to peers, so that they need not
 // read it.
 type Listing struct {
--- a/internal/peer/counters.go
+++ b/internal/peer/counters.go
@@ -18,7 +18,8 @@
 		for _, kind := range []message.Kind{
 			message.KindHello, message.KindDigest, message.KindConfiguration, message.KindFetch, message.KindMembers,
 			message.KindUsage, message.KindQuarantine, message.KindForward, message.KindForwardAnswer,
-			message.KindCancel, message.KindHandover, message.KindHandoverAccepted, message.KindStatus, message.KindListing, message.KindRows, message.KindEvidence, "Unknown",
+			message.KindCancel, message.KindHandover, message.KindHandoverAccepted, message.KindStatus, message.KindListing, message.KindRows, message.KindEvidence,
+			message.KindLeft, "Unknown",
 		} {
 			key := event + "." + string(kind)
 			c.messages[key] = metrics.GetOrRegisterCounter("peer."+key+".messages", r)
--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/subtle"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -29,14 +30,10 @@
 	maxBackoff = 10 * time.Second
 )
 
-// Close codes, from the range for private use.
+// Close codes of refused links, from the range for private use.
 const (
-	// closeVersionMismatch and closeWrongToken refuse a link.
 	closeVersionMismatch websocket.StatusCode = 4001
 	closeWrongToken      websocket.StatusCode = 4002
-	// closeLeft means that the peer leaves and has answered all calls that it has
-	// started.
-	closeLeft websocket.StatusCode = 4003
 )
 
 // Errors of a refused link.
@@ -119,9 +116,14 @@
 	if err != nil {
 		return // Accept has written the error response.
 	}
+	opened := h.beginHandshake()
+	defer opened()
 	ctx, cancel := context.WithTimeout(h.ctx, handshakeTimeout)
 	defer cancel()
 	hello, err := h.readHello(ctx, conn)
+	if err == nil && h.leaving.Load() {
+		err = errors.New("this daemon leaves")
+	}
 	if err == nil {
 		err = h.writeHello(ctx, conn)
 	}
@@ -131,10 +133,19 @@
 		return
 	}
 	if l := h.newLink(conn, hello, ""); h.register(l) {
+		opened()
 		h.serveLink(l)
 	}
 }
 
+// beginHandshake counts a link that is being opened, so that Leave waits until it can
+// notify its peer. The returned function ends the handshake; further calls have no
+// effect.
+func (h *Hub) beginHandshake() (end func()) {
+	h.handshakes.Add(1)
+	return sync.OnceFunc(func() { h.handshakes.Add(-1) })
+}
+
 func (h *Hub) newLink(conn *websocket.Conn, peer message.Hello, address string) *link {
 	ctx, end := context.WithCancel(h.ctx)
 	return &link{
@@ -202,8 +213,15 @@
 		h.wg.Done()
 		return nil, errors.Annotatef(err, "open link to %s", address)
 	}
+	defer h.beginHandshake()()
 	var hello message.Hello
-	if err = h.writeHello(ctx, conn); err == nil {
+	if h.leaving.Load() {
+		err = errors.New("this daemon leaves")
+	}
+	if err == nil {
+		err = h.writeHello(ctx, conn)
+	}
+	if err == nil {
 		hello, err = h.readHello(ctx, conn)
 	}
 	if err != nil {
--- a/internal/peer/hub.go
+++ b/internal/peer/hub.go
@@ -6,10 +6,8 @@
 import (
 	"context"
 	"io"
-	"maps"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,7 +28,7 @@
 	DefaultWriteTimeout = 10 * time.Second
 
 	// leavePoll is the period at which Leave checks for unanswered calls, and
-	// leaveTimeout how long it waits for peers to confirm the close.
+	// leaveTimeout how long it waits for peers to close the links.
 	leavePoll    = 5 * time.Millisecond
 	leaveTimeout = 500 * time.Millisecond
 )
@@ -81,6 +79,8 @@
 	wg       sync.WaitGroup
 	// leaving is set when no further calls of peers are served.
 	leaving atomic.Bool
+	// handshakes is the number of links that are being opened.
+	handshakes atomic.Int64
 
 	mu      sync.Mutex
 	closed  bool
@@ -185,14 +185,10 @@
 // the one dialed by the daemon with the higher id, else the older one.
 func (h *Hub) register(l *link) bool {
 	h.mu.Lock()
-	if h.closed || h.leaving.Load() {
-		closed := h.closed
+	if h.closed {
 		h.mu.Unlock()
-		if !closed {
-			l.leave()
-		}
 		l.end()
-		_ = l.conn.CloseNow() // The hub is closed, or the peer has confirmed the close.
+		_ = l.conn.CloseNow() // The hub is closed.
 		return false
 	}
 	first := true
@@ -297,40 +293,54 @@
 }
 
 // Leave refuses further calls of peers, waits until the calls that were started are
-// answered and closes the links, so that peers know that the rest did not start. It
-// closes no link if the context ends before, and does not wait for peers that take
-// longer than leaveTimeout to confirm the close.
+// answered and notifies the peers, which then know that the rest did not start and
+// close the links. It notifies nobody if the context ends before, and does not wait
+// longer than leaveTimeout for the links to end.
 func (h *Hub) Leave(ctx context.Context) {
 	h.init()
 	h.leaving.Store(true)
 	for !h.Flushed() {
-		select {
-		case <-ctx.Done():
+		if !sleep(ctx, leavePoll) {
 			return
-		case <-time.After(leavePoll):
 		}
 	}
-	h.mu.Lock()
-	links := slices.Collect(maps.Keys(h.links))
-	h.mu.Unlock()
-	left := make(chan struct{}, len(links))
-	for _, l := range links {
-		if !h.addGoroutine() {
+	h.KeepLinks(nil)
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	for h.handshakes.Load() > 0 || h.notifyLeft() > 0 {
+		if !sleep(ctx, leavePoll) {
 			return
 		}
-		go func() {
-			defer h.wg.Done()
-			l.leave()
-			left <- struct{}{}
-		}()
 	}
-	timeout := time.After(leaveTimeout)
-	for range links {
-		select {
-		case <-left:
-		case <-timeout:
-			return
+}
+
+// notifyLeft notifies the peers of links that were not notified yet, and returns the
+// number of open links.
+func (h *Hub) notifyLeft() int {
+	data, err := message.Encode(message.KindLeft, message.Left{Daemon: h.Self.Daemon})
+	if err != nil {
+		h.Log.Error(err, "peers not notified")
+		return 0
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for l := range h.links {
+		l.mu.Lock()
+		if !l.left {
+			l.left = l.queue.push(&queuedMessage{kind: message.KindLeft, data: data}) == nil
 		}
+		l.mu.Unlock()
+	}
+	return len(h.links)
+}
+
+// sleep waits, and reports false if the context ends before.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
 	}
 }
 
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,8 +22,6 @@
 	// retiredLinger is how long an unused duplicate link stays open, so that calls can
 	// finish that the peer started before it saw the other link.
 	retiredLinger = 5 * time.Second
-	// closeReadTimeout is how long a link is read after a failed write.
-	closeReadTimeout = time.Second
 )
 
 // maxServedCalls limits the concurrent calls of one peer.
@@ -42,6 +42,7 @@
 	mu       sync.Mutex
 	closed   bool
 	retired  bool // Replaced by another link to the same peer; see Hub.register.
+	left     bool // The peer has been notified that this daemon leaves.
 	lastUse  time.Time
 	lastCall uint64                        // Number of the last call to the peer.
 	calls    map[uint64]*call              // Calls to the peer by number.
@@ -53,17 +54,8 @@
 	ctx, cancel := l.ctx, l.end
 	defer cancel()
 	var wg sync.WaitGroup
-	for _, part := range []func(context.Context){l.write, l.ping} {
-		wg.Go(func() {
-			defer cancel()
-			part(ctx)
-			// The peer may have closed the link; its close code is still to be read.
-			select {
-			case <-ctx.Done():
-			case <-time.After(closeReadTimeout):
-			}
-		})
-	}
+	wg.Go(func() { defer cancel(); l.write(ctx) })
+	wg.Go(func() { defer cancel(); l.ping(ctx) })
 	err := l.read(ctx, &wg)
 	cancel()
 	l.queue.close()
@@ -75,23 +67,13 @@
 	}
 	l.mu.Unlock()
 	for _, c := range calls {
-		if websocket.CloseStatus(err) == closeLeft {
-			c.refuse(errors.Annotatef(ErrRefused, "%s has left", l.peer.Daemon))
-		} else {
-			c.fail(errors.Annotatef(ErrLinkBroken, "to %s: %v", l.peer.Daemon, err))
-		}
+		c.fail(errors.Annotatef(ErrLinkBroken, "to %s: %v", l.peer.Daemon, err))
 	}
 	_ = l.conn.CloseNow() // Already closed if the peer or the reader closed it.
 	wg.Wait()
 	l.hub.Log.V(1).Info("link ended", "peer", l.peer.Daemon, "reason", err.Error())
 }
 
-// leave closes the link with the notice that all calls of the peer that were started
-// are answered.
-func (l *link) leave() {
-	_ = l.conn.Close(closeLeft, "daemon leaves") // The peer may have ended.
-}
-
 func (l *link) write(ctx context.Context) {
 	for {
 		select {
@@ -150,6 +132,9 @@
 			l.recordUse()
 			err = l.handle(ctx, wg, e)
 		}
+		if errors.Is(err, errPeerLeft) {
+			return err
+		}
 		if err != nil {
 			l.hub.Log.Info("malformed message", "peer", l.peer.Daemon, "error", err.Error())
 			_ = l.conn.Close(websocket.StatusInvalidFramePayloadData, "malformed message")
@@ -201,6 +186,12 @@
 		if c := l.findCall(a.Call); c != nil {
 			c.finishHandover(a)
 		}
+	case message.KindLeft:
+		if _, err := message.Decode[message.Left](e); err != nil {
+			return err
+		}
+		l.refuseCalls()
+		return errPeerLeft
 	case message.KindCancel:
 		c, err := message.Decode[message.Cancel](e)
 		if err != nil {
@@ -250,6 +241,21 @@
 	})
 }
 
+// errPeerLeft ends a link whose peer has left.
+const errPeerLeft = errors.ConstError("peer has left")
+
+// refuseCalls ends the calls to a peer that has answered all that it has started, and
+// allows no further ones.
+func (l *link) refuseCalls() {
+	l.mu.Lock()
+	l.closed = true
+	calls := slices.Collect(maps.Values(l.calls))
+	l.mu.Unlock()
+	for _, c := range calls {
+		c.refuse(errors.Annotatef(ErrRefused, "%s has left", l.peer.Daemon))
+	}
+}
+
 // startCall queues a call to the peer. If it returns an error, nothing was sent.
 func (l *link) startCall(kind message.Kind, encode func(number uint64) ([]byte, error)) (*call, error) {
 	l.mu.Lock()
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -167,7 +168,7 @@
 // Guards against calls whose outcome is unknown because their peer ended in the
 // ordinary way, and against calls that ran although they count as not started.
 func TestCallsOfAPeerThatLeaves(t *testing.T) {
-	for range 10 {
+	for round := range 10 {
 		var mu sync.Mutex
 		ran := map[string]bool{}
 		b := startHub(t, "b", withForward(func(_ context.Context, f message.Forward, w ResponseWriter) {
@@ -183,7 +184,8 @@
 		for c := range 16 {
 			wg.Go(func() {
 				for n := 0; ; n++ {
-					id := fmt.Sprintf("%d.%d", c, n)
+					// A test in another process may reach b after its own hub has freed the port.
+					id := fmt.Sprintf("%d.%d.%d.%d", os.Getpid(), round, c, n)
 					r, err := a.Forward(testContext(t), b.Self.PeerAddress, message.Forward{RequestID: id})
 					if err == nil {
 						_, err = readBody(r)
@@ -201,7 +203,11 @@
 				}
 			})
 		}
-		time.Sleep(30 * time.Millisecond)
+		for answered := false; !answered; time.Sleep(10 * time.Millisecond) {
+			mu.Lock()
+			answered = len(ran) > 16
+			mu.Unlock()
+		}
 		b.Leave(testContext(t))
 		b.Close()
 		close(left)
