bench: run the simulations of the tests beside each other

Traced: the tests run one after the other, each on one processor, and wait for those that the load takes.

Change: the tests of simulations run in parallel. Seeds, sizes, bounds and the 8 minutes are unchanged; the simulations share no state, which the race detector confirms.

--- a/internal/bench/admission_test.go
+++ b/internal/bench/admission_test.go
@@ -8,6 +8,7 @@
 // TestAdmissionBounds guards against a change of the queue that breaks a latency or
 // fairness bound of the design.
 func TestAdmissionBounds(t *testing.T) {
+	t.Parallel()
 	res, err := Run("admission", admissionSeed)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/bench/ledger_test.go
+++ b/internal/bench/ledger_test.go
@@ -10,6 +10,7 @@
 // orders within it, a takeover that reads responses, and figures that differ between runs
 // with the same seed. It runs both measures with fewer sizes.
 func TestLedgerMeasures(t *testing.T) {
+	t.Parallel()
 	const seed = 1
 	if diff := cmp.Diff(ledgerAtRates(seed, 10), ledgerAtRates(seed, 10)); diff != "" {
 		t.Errorf("seed %d: figures differ between two runs: %s", seed, diff)
--- a/internal/bench/placement_test.go
+++ b/internal/bench/placement_test.go
@@ -23,6 +23,7 @@
 // Guards against a policy that exceeds its cost bounds or lets urgent work wait when a data
 // centre is lost, and against figures that differ between runs with the same seed.
 func TestPlacementBounds(t *testing.T) {
+	t.Parallel()
 	t.Logf("seed %d, %d large instances", placementSeed, testInstances)
 	r := placementFigures(placementSeed, testInstances)
 	for _, f := range r.Figures {
@@ -42,6 +43,7 @@
 // Guards against a measure that does not detect a policy without spare capacity for the loss
 // of a place. The broken policy gets a rank without demand as the most urgent one.
 func TestPlacementBoundsBreak(t *testing.T) {
+	t.Parallel()
 	t.Logf("seed %d, %d large instances", placementSeed, testInstances)
 	broken := planPolicy()
 	inner := broken.plan
--- a/internal/bench/routing_test.go
+++ b/internal/bench/routing_test.go
@@ -26,6 +26,7 @@
 })
 
 func checkRouting(t *testing.T, baseline string) {
+	t.Parallel()
 	t.Logf("seed %d", routingSeed)
 	bounds := 0
 	for _, f := range routingFigures() {
--- a/internal/bench/slopes_test.go
+++ b/internal/bench/slopes_test.go
@@ -8,6 +8,7 @@
 // Guards against a change that takes the messages or lists of a daemon over its byte budget,
 // or the spread of a configuration over 3 s.
 func TestSlopes(t *testing.T) {
+	t.Parallel()
 	for _, name := range []string{"gossip", "spread", "lists"} {
 		r, err := Run(name, scalingSeed)
 		if err != nil {
