--- /dev/null
+++ b/review/stand/server.go
@@ -0,0 +1,147 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// entry is the entry that a backend server writes to the store.
+type entry struct {
+	Backend  string `json:"backend"`
+	Address  string `json:"address"`
+	Zone     string `json:"zone"`
+	Version  string `json:"version"`
+	Capacity int    `json:"capacity"`
+	State    string `json:"state"`
+	Warmup   int    `json:"warmupRemainingMs"`
+	Stage    string `json:"stage,omitempty"`
+	Sequence int64  `json:"sequence"`
+	Born     int64  `json:"born"`
+}
+
+// backend is a sound backend server. Spoil, if set, answers instead and reports true.
+type backend struct {
+	ID       string
+	Zone     string
+	Service  string
+	Engine   bool
+	Capacity int
+	Store    *store
+	Rec      *record
+	// Work is how long a plain request takes and how long an engine takes to the first event.
+	Work  time.Duration
+	Spoil func(s *backend, w http.ResponseWriter, r *http.Request) bool
+	// Ran, if set, is called with each request that the server runs.
+	Ran func(s *backend, r *http.Request)
+	// Events, if set, writes the events of a stream after the one named by Last-Event-Id.
+	Events func(ctx context.Context, w http.ResponseWriter, id, after string)
+
+	address  string
+	server   *http.Server
+	mu       sync.Mutex
+	sequence int64
+	state    string
+}
+
+// start listens on a loopback address and keeps the server's entry in the store until the
+// context ends.
+func (s *backend) start(ctx context.Context, ip string) error {
+	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	if err != nil {
+		return err
+	}
+	s.address, s.state = l.Addr().String(), "ready"
+	s.server = &http.Server{Handler: s}
+	go func() { _ = s.server.Serve(l) }() // Ends with close.
+	born := time.Now().UnixMilli()
+	s.beat(born)
+	go func() {
+		for pause(ctx, 1200*time.Millisecond) {
+			s.beat(born)
+		}
+		_ = s.server.Close() // The run is over.
+	}()
+	return nil
+}
+
+func (s *backend) beat(born int64) {
+	s.mu.Lock()
+	s.sequence++
+	e := entry{s.Service, s.address, s.Zone, "v1", s.Capacity, s.state, 0, "", s.sequence, born}
+	s.mu.Unlock()
+	if s.Engine {
+		e.Stage = "both"
+	}
+	s.Store.put("servers/"+s.ID, e)
+}
+
+// ServeHTTP runs a request.
+func (s *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Apricotbridge-Attempt-Id")
+	h := w.Header()
+	h.Set("X-Apricotbridge-Attempt-Id", id)
+	if expected := r.Header.Get("X-Apricotbridge-Expected-Instance"); expected != "" && expected != s.ID {
+		h.Set("X-Apricotbridge-Instance-Id", s.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	h.Set("X-Apricotbridge-Server-Signature", s.ID+"."+id)
+	if s.Spoil != nil && s.Spoil(s, w, r) {
+		return
+	}
+	s.Rec.add("server %s: runs %s", s.ID, id)
+	if s.Ran != nil {
+		s.Ran(s, r)
+	}
+	if !pause(r.Context(), s.Work) {
+		return
+	}
+	if !s.Engine {
+		data, err := json.Marshal(map[string]string{"ranAt": s.ID, "request": id})
+		if err != nil {
+			return // Strings always encode.
+		}
+		_, _ = w.Write(data) // The daemon may have disconnected.
+		return
+	}
+	h.Set("Content-Type", "text/event-stream")
+	if s.Events != nil {
+		s.Events(r.Context(), w, id, r.Header.Get("Last-Event-Id"))
+		return
+	}
+	const events = 40
+	for n := 1; n <= events; n++ {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", n, id, n); err != nil {
+			return
+		}
+		_ = http.NewResponseController(w).Flush() // The next write reports an error.
+		if n < events && !pause(r.Context(), 20*time.Millisecond) {
+			return
+		}
+	}
+}
+
+// cloud is the platform's API for duties. It accepts all calls.
+type cloud struct{}
+
+// ServeHTTP accepts a call.
+func (cloud) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusOK)
+}
+
+// listen serves a handler on a free port of a loopback address and returns the address.
+func listen(ctx context.Context, ip string, h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: h}
+	go func() { _ = server.Serve(l) }()                   // Ends with Close.
+	context.AfterFunc(ctx, func() { _ = server.Close() }) // The run is over.
+	return l.Addr().String(), nil
+}
