--- a/review/stand/daemon.go
+++ b/review/stand/daemon.go
@@ -173,7 +173,7 @@
 			return
 		case <-ctx.Done():
 			_ = p.Signal(syscall.SIGKILL) // It may have ended.
-			_ = <-ended // Killed above.
+			_ = <-ended                   // Killed above.
 			return
 		case <-ticker.C:
 		}
@@ -183,7 +183,7 @@
 		m.mu.Unlock()
 		if used > float64(m.memoryMB) {
 			_ = p.Signal(syscall.SIGKILL) // It may have ended.
-			_ = <-ended // Killed above.
+			_ = <-ended                   // Killed above.
 			m.mu.Lock()
 			m.ends++
 			m.mu.Unlock()
