--- a/review/stand/daemon.go
+++ b/review/stand/daemon.go
@@ -173,7 +173,7 @@
 			return
 		case <-ctx.Done():
 			_ = p.Signal(syscall.SIGKILL) // It may have ended.
-			_ = <-ended                   // Killed above.
+			m.rec.add("machine %s: run is over, daemon killed: %v", m.name, <-ended)
 			return
 		case <-ticker.C:
 		}
@@ -183,11 +183,11 @@
 		m.mu.Unlock()
 		if used > float64(m.memoryMB) {
 			_ = p.Signal(syscall.SIGKILL) // It may have ended.
-			_ = <-ended                   // Killed above.
+			err := <-ended
 			m.mu.Lock()
 			m.ends++
 			m.mu.Unlock()
-			m.rec.add("machine %s: daemon has %.0f MB of memory, over the limit of %d MB: the platform kills it", m.name, used, m.memoryMB)
+			m.rec.add("machine %s: daemon has %.0f MB of memory, over the limit of %d MB: the platform kills it: %v", m.name, used, m.memoryMB, err)
 			return
 		}
 	}
