--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -120,9 +120,18 @@
 	t.outcomes[c.Name][outcome]++
 }
 
-// print prints how the requests of each class ended.
-func (t *traffic) print() {
+// errNotServed means that a class was not served at all, so that the case says nothing.
+var errNotServed = errors.New("a kind of request was never answered")
+
+// print prints how the requests of each class ended. It returns an error if no request of a class
+// got an answer with status 200, so that a deployment that did not start is no rule that held.
+func (t *traffic) print() error {
+	var err error
 	for _, c := range t.Classes {
 		fmt.Printf("%s: %v\n", c.Name, t.outcomes[c.Name])
+		if t.outcomes[c.Name]["200"]+t.outcomes[c.Name]["200, broken off"] == 0 {
+			err = errNotServed
+		}
 	}
+	return err
 }
--- a/review/stand/daemon.go
+++ b/review/stand/daemon.go
@@ -25,23 +25,49 @@
 	lastPeerPort  = 17615
 )
 
+// machineCount is the number of machines, and firstMachine the last byte of the first one's address.
+const (
+	machineCount = 6
+	firstMachine = 11
+)
+
 // block is the third byte of the loopback addresses of this run.
 var block int
 
 // address returns a loopback address of this run.
 func address(host int) string { return fmt.Sprintf("127.0.%d.%d", block, host) }
 
-// takeBlock chooses a block of addresses that no other run uses. The listener holds it.
+// takeBlock chooses a block of addresses that no other run uses and on which the ports of all
+// machines are free. The listener holds it.
 func takeBlock() (net.Listener, error) {
 	const first, last = 22, 60
 	for block = first; block <= last; block++ {
-		if l, err := net.Listen("tcp", net.JoinHostPort(address(1), strconv.Itoa(lockPort))); err == nil {
+		l, err := net.Listen("tcp", net.JoinHostPort(address(1), strconv.Itoa(lockPort)))
+		if err != nil {
+			continue
+		}
+		if portsFree() {
 			return l, nil
 		}
+		_ = l.Close() // Another block is tried.
 	}
 	return nil, fmt.Errorf("no free loopback addresses between 127.0.%d.1 and 127.0.%d.1", first, last)
 }
 
+// portsFree reports whether the daemons of all machines can listen.
+func portsFree() bool {
+	for i := range machineCount {
+		for _, port := range []int{frontendPort, readinessPort, registryPort, firstPeerPort, firstPeerPort + 1} {
+			l, err := net.Listen("tcp", net.JoinHostPort(address(firstMachine+i), strconv.Itoa(port)))
+			if err != nil {
+				return false
+			}
+			_ = l.Close() // The daemon listens there.
+		}
+	}
+	return true
+}
+
 // machine is an edge machine with its daemon, which is started again when it ends.
 type machine struct {
 	name, ip, zone, region string
@@ -126,7 +152,7 @@
 func (d *deployment) addMachine(zone string) (*machine, error) {
 	d.machinesCount++
 	m := &machine{
-		name: fmt.Sprintf("edge-%s-%d", zone, d.machinesCount), ip: address(10 + d.machinesCount),
+		name: fmt.Sprintf("edge-%s-%d", zone, d.machinesCount), ip: address(firstMachine + d.machinesCount - 1),
 		zone: zone, region: zones[zone], memoryMB: d.memoryMB, binary: d.binary, rec: d.rec,
 	}
 	if err := d.writeSettings(m); err != nil {
--- a/review/stand/endless.go
+++ b/review/stand/endless.go
@@ -131,7 +131,9 @@
 	t := &traffic{Machines: s.machines, Rec: rec, Classes: sheet}
 	e.begin()
 	t.run(ctx, endlessRun)
-	t.print()
+	if err := t.print(); err != nil {
+		return false, err
+	}
 	for _, m := range s.machines {
 		ends, peak := m.state()
 		fmt.Printf("machine %s: %d ends by itself, at most %.0f MB\n", m.name, ends, peak)
--- a/review/stand/eventids.go
+++ b/review/stand/eventids.go
@@ -63,7 +63,9 @@
 	defer s.close()
 	t := &traffic{Machines: s.machines, Rec: rec, Classes: sheet}
 	t.run(ctx, idsRun)
-	t.print()
+	if err := t.print(); err != nil {
+		return false, err
+	}
 	fmt.Printf("%d streams were begun by servers; %d requests on kept connections were closed before the end of their answer\n", e.begun, t.brokenOff)
 	return t.brokenOff > maxCutStreams, nil
 }
--- a/review/stand/failing.go
+++ b/review/stand/failing.go
@@ -75,7 +75,9 @@
 	f.mu.Unlock()
 	t := &traffic{Machines: s.machines, Rec: rec, Classes: sheet}
 	t.run(ctx, failingRun)
-	t.print()
+	if err := t.print(); err != nil {
+		return false, err
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	refused := 0
--- a/review/stand/oddentry.go
+++ b/review/stand/oddentry.go
@@ -12,11 +12,11 @@
 const (
 	// oddRun is the length of the case.
 	oddRun = 40 * time.Second
-	// oddEvery is the time between two odd entries.
-	oddEvery = 3 * time.Second
+	// oddEvery is the time between two writes of the odd entry. A server writes its own every 1.2 s.
+	oddEvery = time.Second
 )
 
-// oddEntry is the case of entries that another writer left among those of the servers.
+// oddEntry is the case of an entry that another writer keeps among those of the servers.
 type oddEntry struct {
 	rec *record
 	mu  sync.Mutex
@@ -36,16 +36,15 @@
 	o.rec.add("foreign: %s %s was run by %s, a server of %s", r.Method, r.URL.Path, s.ID, s.Service)
 }
 
-// leave overwrites the entries of twelve model servers with ones of another format: there is no
+// leave overwrites the entry of one model server with one of another format: there is no
 // sequence, and the version is a number.
 func (o *oddEntry) leave(s *site) {
-	for _, b := range s.backends[:12] {
-		odd := map[string]any{
-			"backend": "tellimus", "address": b.address, "zone": b.Zone, "version": 1, "capacity": 6, "state": "ready", "warmupRemainingMs": 0,
-		}
-		s.store.put("servers/"+b.ID, odd)
-		o.rec.add("another writer: writes servers/%s: %v", b.ID, odd)
+	b := s.backends[0]
+	odd := map[string]any{
+		"backend": "tellimus", "address": b.address, "zone": b.Zone, "version": 1, "capacity": 6, "state": "ready", "warmupRemainingMs": 0,
 	}
+	s.store.put("servers/"+b.ID, odd)
+	o.rec.add("another writer: writes servers/%s: %v", b.ID, odd)
 }
 
 // runOddEntry plays the case and reports whether the rule was broken.
@@ -65,7 +64,9 @@
 	}
 	t := &traffic{Machines: s.machines, Rec: rec, Classes: sheet}
 	t.run(ctx, oddRun)
-	t.print()
+	if err := t.print(); err != nil {
+		return false, err
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	fmt.Printf("%d requests were run by a server of another service\n", o.foreign)
--- a/review/stand/site.go
+++ b/review/stand/site.go
@@ -91,7 +91,7 @@
 		s.backends = append(s.backends, b)
 	}
 	d := &deployment{store: storeAddress, cloud: cloudAddress, memoryMB: memoryMB, dir: dir, binary: s.Daemon, rec: s.Rec}
-	for i := range 6 {
+	for i := range machineCount {
 		m, err := d.addMachine(zoneOrder[i%3])
 		if err != nil {
 			return err
