review: case 4, streams go on at another server while the one before works on them

A leaving server's streams are moved by closing their connections. Not all servers drop a request then, and nothing stops the run at the server before.

--- a/review/stand/eventids.go
+++ b/review/stand/eventids.go
@@ -31,7 +31,8 @@
 
 // stream writes the events after the one that is named. The id of an event is the number of
 // tokens, or with a step of 1 of events, that the stream has by its end.
-func (e *eventIDs) stream(ctx context.Context, w http.ResponseWriter, id, after string) {
+func (e *eventIDs) stream(ctx context.Context, _ *backend, w http.ResponseWriter, r *http.Request) {
+	id, after := r.Header.Get("X-Apricotbridge-Attempt-Id"), r.Header.Get("Last-Event-Id")
 	e.mu.Lock()
 	e.begun++
 	e.mu.Unlock()
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -22,6 +22,7 @@
 	"endless":   runEndless,
 	"event-ids": runEventIDs,
 	"failing":   runFailing,
+	"leaving":   runLeaving,
 	"odd-entry": runOddEntry,
 }
 
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -39,10 +39,11 @@
 	// Ran, if set, is called with each request that the server runs.
 	Ran func(s *backend, r *http.Request)
 	// Events, if set, writes the events of a stream after the one named by Last-Event-Id.
-	Events func(ctx context.Context, w http.ResponseWriter, id, after string)
+	Events func(ctx context.Context, s *backend, w http.ResponseWriter, r *http.Request)
 
 	address  string
 	server   *http.Server
+	born     int64
 	mu       sync.Mutex
 	sequence int64
 	state    string
@@ -58,28 +59,58 @@
 	s.address, s.state = l.Addr().String(), "ready"
 	s.server = &http.Server{Handler: s}
 	go func() { _ = s.server.Serve(l) }() // Ends with close.
-	born := time.Now().UnixMilli()
-	s.beat(born)
+	s.born = time.Now().UnixMilli()
+	s.beat()
 	go func() {
 		for pause(ctx, 1200*time.Millisecond) {
-			s.beat(born)
+			s.beat()
 		}
 		_ = s.server.Close() // The run is over.
 	}()
 	return nil
 }
 
-func (s *backend) beat(born int64) {
+// beat writes the server's entry, unless the server has left.
+func (s *backend) beat() {
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.state == "" {
+		return
+	}
 	s.sequence++
-	e := entry{s.Service, s.address, s.Zone, "v1", s.Capacity, s.state, 0, "", s.sequence, born}
-	s.mu.Unlock()
+	e := entry{s.Service, s.address, s.Zone, "v1", s.Capacity, s.state, 0, "", s.sequence, s.born}
 	if s.Engine {
 		e.Stage = "both"
 	}
 	s.Store.put("servers/"+s.ID, e)
 }
 
+// leave announces that the server is draining, serves on for a time and ends.
+func (s *backend) leave(ctx context.Context, serves time.Duration) {
+	s.setState("draining")
+	s.beat()
+	s.Rec.add("server %s: is draining", s.ID)
+	if !pause(ctx, serves) {
+		return
+	}
+	s.setState("")
+	s.Store.drop("servers/" + s.ID)
+	_ = s.server.Close() // Its runs have ended.
+	s.Rec.add("server %s: has left", s.ID)
+}
+
+func (s *backend) setState(state string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state = state
+}
+
+func (s *backend) isLeaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state == "draining"
+}
+
 // ServeHTTP runs a request.
 func (s *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Apricotbridge-Attempt-Id")
@@ -91,6 +122,9 @@
 		return
 	}
 	h.Set("X-Apricotbridge-Server-Signature", s.ID+"."+id)
+	if s.isLeaving() {
+		h.Set("Server-Leaving", "1")
+	}
 	if s.Spoil != nil && s.Spoil(s, w, r) {
 		return
 	}
@@ -111,7 +145,7 @@
 	}
 	h.Set("Content-Type", "text/event-stream")
 	if s.Events != nil {
-		s.Events(r.Context(), w, id, r.Header.Get("Last-Event-Id"))
+		s.Events(r.Context(), s, w, r)
 		return
 	}
 	const events = 40
--- a/review/stand/site.go
+++ b/review/stand/site.go
@@ -46,7 +46,7 @@
 	Spoil func(s *backend, w http.ResponseWriter, r *http.Request) bool
 	Ran   func(s *backend, r *http.Request)
 	// Events replaces the stream of the model servers.
-	Events func(ctx context.Context, w http.ResponseWriter, id, after string)
+	Events func(ctx context.Context, s *backend, w http.ResponseWriter, r *http.Request)
 
 	store    *store
 	backends []*backend
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -102,6 +102,13 @@
 	s.write(key, data, 0)
 }
 
+// drop removes an entry as a server does that has left.
+func (s *store) drop(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.remove(key)
+}
+
 // ServeHTTP serves the calls of the daemons.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Store-Era", "1")
