--- a/review/stand/leaving.go
+++ b/review/stand/leaving.go
@@ -20,15 +20,15 @@
 	servesFor = 4500 * time.Millisecond
 	// keepsRunningEvery is the distance of the servers that do not drop a request when its
 	// connection closes. Most do.
-	keepsRunningEvery = 5
+	keepsRunningEvery = 3
 	// eventTime is the time from one event of a stream to the next, below the pause of 300 ms of the
 	// sheet.
-	eventTime = 50 * time.Millisecond
+	eventTime = 60 * time.Millisecond
 	// maxOverlap is how long the server before may still work on a request that goes on elsewhere.
 	maxOverlap = 400 * time.Millisecond
 )
 
-var leavingAt = []time.Duration{5 * time.Second, 20 * time.Second}
+var leavingAt = []time.Duration{5 * time.Second, 15 * time.Second, 25 * time.Second}
 
 // streamEvents holds the number of events of a stream by the start of its path, as the sheet
 // states.
