--- a/review/stand/endless.go
+++ b/review/stand/endless.go
@@ -123,7 +123,7 @@
 // runEndless plays the case and reports whether the rule was broken.
 func runEndless(ctx context.Context, rec *record, daemon string, trouble bool) (bool, error) {
 	e := &endless{rec: rec, trouble: trouble, ranAt: map[string]string{}, between: pacer{perSecond: regionBytesPerSecond}}
-	s := &site{Rec: rec, Daemon: daemon, Engines: endlessEngines, Spoil: e.spoil, Ran: e.ran}
+	s := &site{Rec: rec, Daemon: daemon, Engines: endlessEngines, ReadsPrompts: true, Spoil: e.spoil, Ran: e.ran}
 	if err := s.start(ctx); err != nil {
 		return false, err
 	}
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -34,8 +36,10 @@
 	Store    *store
 	Rec      *record
 	// Work is how long a plain request takes and how long an engine takes to the first event.
-	Work  time.Duration
-	Spoil func(s *backend, w http.ResponseWriter, r *http.Request) bool
+	Work time.Duration
+	// ReadsPrompts adds the time to read all tokens of a prompt to Work.
+	ReadsPrompts bool
+	Spoil        func(s *backend, w http.ResponseWriter, r *http.Request) bool
 	// Ran, if set, is called with each request that the server runs.
 	Ran func(s *backend, r *http.Request)
 	// Events, if set, writes the events of a stream after the one named by Last-Event-Id.
@@ -132,7 +136,11 @@
 	if s.Ran != nil {
 		s.Ran(s, r)
 	}
-	if !pause(r.Context(), s.Work) {
+	work := s.Work
+	if s.ReadsPrompts {
+		work += readTime(r)
+	}
+	if !pause(r.Context(), work) {
 		return
 	}
 	if !s.Engine {
@@ -160,6 +168,14 @@
 	}
 }
 
+// readTime returns how long an engine of the site reads the prompt of a request.
+func readTime(r *http.Request) time.Duration {
+	const tokensPerMillisecond = 51.1
+	prompt, _, _ := strings.Cut(r.Header.Get("X-Apricotbridge-Token-Usage"), ",")
+	tokens, _ := strconv.ParseFloat(prompt, 64) // No prompt: 0.
+	return time.Duration(tokens / tokensPerMillisecond * float64(time.Millisecond))
+}
+
 // cloud is the platform's API for duties. It accepts all calls.
 type cloud struct{}
 
--- a/review/stand/site.go
+++ b/review/stand/site.go
@@ -45,6 +45,8 @@
 	// Spoil and Ran are set at all servers.
 	Spoil func(s *backend, w http.ResponseWriter, r *http.Request) bool
 	Ran   func(s *backend, r *http.Request)
+	// ReadsPrompts is set if the model servers take time to read a prompt.
+	ReadsPrompts bool
 	// Events replaces the stream of the model servers.
 	Events func(ctx context.Context, s *backend, w http.ResponseWriter, r *http.Request)
 
@@ -81,6 +83,9 @@
 	s.store.mu.Unlock()
 	for i := range s.Engines + 3 {
 		b := &backend{ID: fmt.Sprintf("i-e%02d", i), Zone: zoneOrder[i%3], Service: "kirjutaja", Engine: true, Capacity: 64, Work: 120 * time.Millisecond}
+		if s.ReadsPrompts {
+			b.ReadsPrompts, b.Work = true, 47*time.Millisecond // As of the site file.
+		}
 		if i >= s.Engines {
 			b = &backend{ID: fmt.Sprintf("i-p%02d", i-s.Engines), Zone: zoneOrder[i%3], Service: "tellimus", Capacity: 6, Work: 60 * time.Millisecond}
 		}
