gateway: do not pass on a status that implies "not run" for a request that may have run

Cause: fail writes the answer of the last server with its status. A server that fails after it has run an order may answer 503 without stating that it did not run it. The daemon's own problems were replaced in this case, the answers of servers were not; 429 and 408 did not count as failed attempts. Ruled out: a retry at another server (each id arrived once), and a refusal of the daemon (the answers have a server's signature).

Change: a status that implies "not run" (408, 421, 429, 503) of a server that may have run the request is a failed attempt without an answer to pass on; the caller gets 502 without a signature. All kinds of route share the path.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -40,8 +40,8 @@
 	done   bool
 	ending dispatch.Ending
 	err    error
-	// answer is a failed server's own answer. The caller gets it if no further attempt is
-	// made.
+	// answer is a failed server's own answer, unless its status implies that the request has
+	// not run. The caller gets it if no further attempt is made.
 	answer *answer
 }
 
@@ -384,9 +384,12 @@
 		return s.handleBodyError(ctx, server, err)
 	}
 	a := &answer{status: res.Status, header: s.g.Protocol.Response(endToEndHeaders(res.Header)), body: body}
-	if res.Status >= http.StatusInternalServerError {
+	if impliesNotRun := problem.ImpliesNotRun(res.Status); impliesNotRun || res.Status >= http.StatusInternalServerError {
 		err := errors.Errorf("server answered status %d", res.Status)
 		s.logAttempt(server, dispatch.Broken, err)
+		if impliesNotRun {
+			a = nil // The server has begun the request; its status would tell the caller otherwise.
+		}
 		return attemptResult{ending: dispatch.Broken, err: err, answer: a}
 	}
 	s.reportFinished()
--- a/pkg/problem/problem.go
+++ b/pkg/problem/problem.go
@@ -94,6 +94,16 @@
 	return m
 }()
 
+// ImpliesNotRun reports whether callers take a response with this status to mean that their
+// request has not run, so that they may send it again.
+func ImpliesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // Of returns the row of a kind. A kind that is not in the list is treated as
 // Internal.
 func Of(kind Kind) Row {
