dispatch: give each service a retry budget of its own

Cause: one budget for all services; the requests of sound services, three times as many, paid for retries at the failing one. Ruled out: attempts that cost no budget, which reach no server.

Change: a budget for each service, with the same share and burst. The metric dispatch_retries_left shows the service with the fewest left.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -23,10 +23,6 @@
 	maxParkTime = 10 * time.Second
 	// maxParkTimeAfterAttempt applies instead to a request with a failed attempt.
 	maxParkTimeAfterAttempt = time.Minute
-	// retryBudgetShare and retryBudgetBurst limit the system's own retries to a tenth of
-	// the requests, so that retries do not overload a failing fleet further.
-	retryBudgetShare = 0.1
-	retryBudgetBurst = 100
 	// noServerRetryAfter is the base of Retry-After when a service has no backend server.
 	noServerRetryAfter = time.Second
 )
@@ -91,8 +87,8 @@
 	// works holds the waiting and running requests by id.
 	works map[string]*Work
 	// parked lists dequeued requests that wait for a server that they may use.
-	parked      []*Work
-	retryBudget admission.RetryBudget
+	parked       []*Work
+	retryBudgets retryBudgets
 	// dropped is the buffer that refuseDropped reuses.
 	dropped []admission.Dropped
 	counts  Counts
@@ -110,18 +106,10 @@
 	return &Dispatcher{
 		Queue: queue, Router: router, Quarantine: list, Rand: random,
 		table: routing.NewTable(nil, nil), works: map[string]*Work{},
-		retryBudget: admission.RetryBudget{Share: retryBudgetShare, Burst: retryBudgetBurst},
+		retryBudgets: newRetryBudgets(),
 	}
 }
 
-// SetRetryBudget bounds the system's own retries to a share of the requests, plus a
-// burst of unused retries.
-func (d *Dispatcher) SetRetryBudget(share, burst float64) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.retryBudget.Share, d.retryBudget.Burst = share, burst
-}
-
 // PreferPlace sets whether servers in a call's own place go before all others.
 func (d *Dispatcher) PreferPlace(prefer bool) {
 	d.mu.Lock()
@@ -168,7 +156,7 @@
 		p.RetryAfter = decision.RetryAfter
 		return p
 	}
-	d.retryBudget.RecordRequest()
+	d.retryBudgets.of(w.Request.Service).RecordRequest()
 	d.works[w.Request.ID] = w
 	d.grantFreeSlots(now)
 	return nil
@@ -294,7 +282,7 @@
 		return w.refusalProblem(p)
 	}
 	// A retry puts no load on a server that was not reached, so it costs no budget.
-	if ending != Stopped && ending != NotSent && !w.Durable && !d.retryBudget.TrySpend() {
+	if ending != Stopped && ending != NotSent && !w.Durable && !d.retryBudgets.of(w.Request.Service).TrySpend() {
 		d.endWork(now, w, used)
 		if !w.mayHaveRun {
 			p := problem.New(problem.NoCapacity, "server %s did not take the request and the retry budget is used up", w.server.ID)
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -173,7 +173,7 @@
 	Queue  admission.Stats
 	// Parked counts the dequeued requests that wait for a server.
 	Parked int
-	// RetriesLeft is the unused part of the retry budget.
+	// RetriesLeft is the unused part of the retry budget of the service that has the least left.
 	RetriesLeft float64
 	// InFlight counts the running requests by server.
 	InFlight map[string]int
@@ -185,7 +185,7 @@
 func (d *Dispatcher) Status(now time.Time) Status {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	s := Status{Counts: d.counts, Queue: d.Queue.Stats(now), Parked: len(d.parked), RetriesLeft: d.retryBudget.Remaining(), InFlight: map[string]int{}}
+	s := Status{Counts: d.counts, Queue: d.Queue.Stats(now), Parked: len(d.parked), RetriesLeft: d.retryBudgets.leastRemaining(), InFlight: map[string]int{}}
 	if d.Evidence != nil {
 		s.Suspects, s.RefusedSuspects = d.Evidence.Len(), len(d.Evidence.Refused(now))
 	}
