gateway: do not end a stream because its server is silent

Cause: readDeadline took 1.5 s without an event for the end of a run. The stream went on at another server, and once the retry budget was used up it was broken off, though its server would have finished it. Ruled out: the drain by itself.

Change: a silent stream is moved only if its server can't be reached with a new connection, or if it stalls within an event.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -167,21 +167,36 @@
 	return &conn{Conn: netConn, address: address, reader: newBufferedReader(netConn)}, nil
 }
 
-// refusalTimeout limits the wait to learn whether a server still accepts connections.
-const refusalTimeout = 200 * time.Millisecond
+const (
+	// refusalTimeout limits the wait to learn whether a server still accepts connections.
+	refusalTimeout = 200 * time.Millisecond
+	// reachTimeout limits the wait to learn whether a server can be reached. A server under load
+	// accepts connections later than an idle one.
+	reachTimeout = 500 * time.Millisecond
+)
 
 // Refuses reports whether a server refuses a connection, which means that its process has
-// ended. Otherwise the connection is kept for the next request.
+// ended.
 func (p *Pool) Refuses(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(ctx, refusalTimeout)
+	return errors.Is(p.probe(ctx, address, refusalTimeout), syscall.ECONNREFUSED)
+}
+
+// Reaches reports whether a connection to a server can be opened.
+func (p *Pool) Reaches(ctx context.Context, address string) bool {
+	return p.probe(ctx, address, reachTimeout) == nil
+}
+
+// probe opens a connection to a server and keeps it for the next request.
+func (p *Pool) probe(ctx context.Context, address string, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	c, err := p.dial(ctx, address)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return err
 	}
 	c.usableUntil = time.Now().Add(defaultIdleTimeout - idleMargin)
 	p.addIdle(c)
-	return false
+	return nil
 }
 
 // CloseUnusable closes idle connections that have expired or whose server is not in use.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -265,9 +265,11 @@
 
 // Reasons for which an attempt is cancelled.
 const (
-	errAttemptTimeout = errors.ConstError("no answer in time")
-	errServerLeaving  = errors.ConstError("server is leaving")
-	errDrained        = errors.ConstError("daemon ends")
+	errAttemptTimeout    = errors.ConstError("no answer in time")
+	errServerLeaving     = errors.ConstError("server is leaving")
+	errServerUnreachable = errors.ConstError("server sends nothing and can't be reached")
+	errStreamStalled     = errors.ConstError("stream stalls within an event")
+	errDrained           = errors.ConstError("daemon ends")
 )
 
 // backendRequest builds the request for a backend server.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -23,11 +23,11 @@
 	maxEventBytes = 256 << 10
 	// relayBufferSize is the number of bytes read from a stream at a time.
 	relayBufferSize = 4 << 10
-	// silentGapFactor times the route's TargetEventGap is how long a resumable stream may
-	// be silent before it counts as broken.
+	// silentGapFactor times the route's TargetEventGap is how long a resumable stream is
+	// silent before the daemon checks that it reaches the server.
 	silentGapFactor = 5
-	// minStreamSilence is the least time of silence after which a stream counts as
-	// broken. An engine may preempt a run for a while.
+	// minStreamSilence is the least time of silence before that check. An engine may preempt a
+	// run for a while.
 	minStreamSilence = 1200 * time.Millisecond
 )
 
@@ -55,17 +55,17 @@
 // relay passes on the events of a stream as they arrive. It never writes part of an
 // event.
 func (s *session) relay(ctx context.Context, cancel context.CancelCauseFunc, server routing.Server, res *backend.Response) attemptResult {
-	watchEnded := s.watchStop(ctx, cancel)
+	var progress streamProgress
+	watchEnded := s.watchRun(ctx, cancel, server, &progress)
 	defer func() {
 		cancel(nil)
 		<-watchEnded
 	}()
 	s.stream.firstEventAt, s.stream.survived = time.Time{}, false
-	lastEventAt := time.Now()
+	res.SetReadDeadline(s.deadline)
 	var pending []byte
 	buffer := make([]byte, relayBufferSize)
 	for {
-		res.SetReadDeadline(s.readDeadline(lastEventAt))
 		n, err := res.Read(buffer)
 		pending = append(pending, buffer[:n]...)
 		end := bytes.LastIndex(pending, []byte("\n\n"))
@@ -77,8 +77,10 @@
 				s.abortDisconnected(writeErr.Error())
 			}
 			pending = append(pending[:0], pending[end+2:]...)
-			lastEventAt = time.Now()
+			now := time.Now()
+			progress.lastEventAt.Store(&now)
 		}
+		progress.withinEvent.Store(len(pending) > 0)
 		switch {
 		// Without a length, a stream that ends before its first event was cut off.
 		case errors.Is(err, io.EOF) && len(pending) == 0 && (!res.CloseDelimited || !s.stream.firstEventAt.IsZero()):
@@ -94,36 +96,65 @@
 	}
 }
 
-// readDeadline returns the time at which the wait for the next event of a stream ends. Bytes
-// without a complete event do not extend it.
-func (s *session) readDeadline(lastEventAt time.Time) time.Time {
-	if s.stream.eventCount > 0 && s.repeatable() && !s.attemptsExhausted() {
-		if silenceEnds := lastEventAt.Add(max(silentGapFactor*s.route.TargetEventGap, minStreamSilence)); silenceEnds.Before(s.deadline) {
-			return silenceEnds
-		}
-	}
-	return s.deadline
+// streamProgress is how far the run of a stream has come.
+type streamProgress struct {
+	// lastEventAt is nil before the first event of the run.
+	lastEventAt atomic.Pointer[time.Time]
+	// withinEvent is set while part of an event has arrived.
+	withinEvent atomic.Bool
 }
 
-// watchStop cancels the attempt when its server is leaving and the stream can be resumed
-// on another one. If the route allows no further attempt, the stream continues for as long
-// as its server runs.
-func (s *session) watchStop(ctx context.Context, cancel context.CancelCauseFunc) <-chan struct{} {
+// watchRun watches the run of a stream until ctx ends. It cancels the attempt if the stream can be
+// resumed on another server, and its server is leaving, stalls within an event, or sends nothing and
+// can't be reached. A server that is reached may still work on the stream, so that its silence
+// alone ends nothing. If the route allows no further attempt, the stream continues for as long as
+// its server runs.
+func (s *session) watchRun(ctx context.Context, cancel context.CancelCauseFunc, server routing.Server, progress *streamProgress) <-chan struct{} {
 	done := make(chan struct{})
 	movable := s.route.Repeat == route.Resume && !s.attemptsExhausted()
+	maxSilence := max(silentGapFactor*s.route.TargetEventGap, minStreamSilence)
 	go func() {
 		defer close(done)
-		select {
-		case leaving := <-s.stop:
-			if leaving && movable {
-				cancel(errServerLeaving)
+		silence := time.NewTimer(maxSilence)
+		defer silence.Stop()
+		for {
+			select {
+			case leaving := <-s.stop:
+				if leaving && movable {
+					cancel(errServerLeaving)
+				}
+			case <-silence.C:
+				next := maxSilence
+				if last := progress.lastEventAt.Load(); movable && last != nil {
+					next = maxSilence - time.Since(*last)
+				}
+				if next <= 0 {
+					if cause := s.silenceCause(ctx, server, progress); cause != nil {
+						cancel(cause)
+						return
+					}
+					next = maxSilence
+				}
+				silence.Reset(next)
+			case <-ctx.Done():
+				return
 			}
-		case <-ctx.Done():
 		}
 	}()
 	return done
 }
 
+// silenceCause returns why a stream without a new event is to be continued elsewhere, or nil.
+func (s *session) silenceCause(ctx context.Context, server routing.Server, progress *streamProgress) error {
+	switch {
+	case progress.withinEvent.Load():
+		return errStreamStalled
+	case !s.g.Backends.Reaches(ctx, server.Address):
+		return errServerUnreachable
+	}
+	return nil
+}
+
 // handleBrokenStream classifies a stream that ended early.
 func (s *session) handleBrokenStream(ctx context.Context, server routing.Server, err error) attemptResult {
 	if s.r.Context().Err() != nil {
