backend: limit what all responses of servers hold in memory together

Cause: each head and each answer was limited, their sum was not. A head of 64 KB in short lines takes some fifty times its bytes when it is parsed.

Change: the responses of a pool may hold an eighth of the instance's memory. If they exceed it, the one that holds the most is given up; a sound answer holds less than those without end. Bodies, parts of events and long heads count. A head has at most 512 lines, and the answer of a server that failed or did not run the request at most 64 KB.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -28,6 +29,9 @@
 	// maxHeadBytes limits the head of a response. It is the limit for the heads of
 	// requests.
 	maxHeadBytes = 64 << 10
+	// maxHeadLines limits the lines of a head, since a parsed line takes many times the memory
+	// of a short one that was received.
+	maxHeadLines = 512
 	// concurrentWriteBytes is the body size above which the request is written
 	// concurrently with reading the response, since a server may respond before it has
 	// read the whole body.
@@ -103,30 +107,63 @@
 	stopWatching   func() bool // Stops closing conn at the end of the context.
 	bodyComplete   bool
 	reusable       bool
+	// evicted is set, under the lock of pool.held, once the response was given up.
+	evicted bool
 	// connReused is set if the connection has carried another request before.
 	connReused bool
 }
 
-// bufferedReader reads a connection. It limits the bytes of a head, which http.ReadResponse
-// does not.
+// bufferedReader reads a connection. It limits the bytes and lines of a head, which
+// http.ReadResponse does not.
 type bufferedReader struct {
 	*bufio.Reader
-	source *io.LimitedReader
+	source *headLimiter
 }
 
 func newBufferedReader(r io.Reader) *bufferedReader {
-	source := &io.LimitedReader{R: r, N: math.MaxInt64}
+	source := &headLimiter{source: r}
 	return &bufferedReader{bufio.NewReaderSize(source, readBufferBytes), source}
 }
 
-// readHead reads the head of the next response. The body is read without a limit.
-func (b *bufferedReader) readHead(method string) (*http.Response, error) {
-	b.source.N = maxHeadBytes
-	head, err := http.ReadResponse(b.Reader, &http.Request{Method: method})
-	if err != nil && b.source.N <= 0 {
-		return nil, errors.Errorf("head has over %d bytes", maxHeadBytes)
+// headLimiter passes on what it reads, and fails a head that exceeds its limits. The limits are
+// checked before each read, so that a head can exceed them by a buffer.
+type headLimiter struct {
+	source io.Reader
+	// inHead is set while a head is read, and bytes and lines count what was read of it.
+	inHead       bool
+	bytes, lines int
+	// hold notes the bytes that a head holds in memory.
+	hold func(n int) error
+}
+
+// Read reads from the source.
+func (l *headLimiter) Read(b []byte) (int, error) {
+	if !l.inHead {
+		return l.source.Read(b)
+	}
+	switch {
+	case l.bytes >= maxHeadBytes:
+		return 0, errors.Errorf("head has over %d bytes", maxHeadBytes)
+	case l.lines >= maxHeadLines:
+		return 0, errors.Errorf("head has over %d lines", maxHeadLines)
 	}
-	b.source.N = math.MaxInt64
+	n, err := l.source.Read(b)
+	l.bytes += n
+	l.lines += bytes.Count(b[:n], []byte("\n"))
+	if l.bytes > readBufferBytes {
+		if e := l.hold(l.bytes); e != nil {
+			return 0, e
+		}
+	}
+	return n, err
+}
+
+// readHead reads the head of the next response. hold notes the bytes that a long one holds in
+// memory. The body is read without a limit.
+func (b *bufferedReader) readHead(method string, hold func(n int) error) (*http.Response, error) {
+	b.source.inHead, b.source.bytes, b.source.lines, b.source.hold = true, 0, 0, hold
+	head, err := http.ReadResponse(b.Reader, &http.Request{Method: method})
+	b.source.inHead = false
 	return head, err
 }
 
@@ -198,7 +235,7 @@
 // readHead reads response heads until one belongs to the request.
 func (r *Response) readHead(q *Request, names HeaderNames) error {
 	for range maxSkippedResponses {
-		head, err := r.conn.reader.readHead(q.Method) //nolint:bodyclose // It ends with the connection.
+		head, err := r.conn.reader.readHead(q.Method, r.Hold) //nolint:bodyclose // It ends with the connection.
 		if err != nil {
 			return err
 		}
@@ -301,16 +338,33 @@
 	if r.ContentLength > limit {
 		return nil, errors.Annotatef(ErrIncomplete, "body has %d bytes", r.ContentLength)
 	}
-	data, err := io.ReadAll(io.LimitReader(r, limit+1))
-	if err != nil {
-		return nil, err
-	}
-	if int64(len(data)) > limit {
-		return nil, errors.Annotatef(ErrIncomplete, "body has over %d bytes", limit)
+	body := make([]byte, 0, min(max(r.ContentLength, minBodyBuffer), maxBodyBuffer))
+	for {
+		if err := r.Hold(cap(body)); err != nil {
+			return nil, err
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case int64(len(body)) > limit:
+			return nil, errors.Annotatef(ErrIncomplete, "body has over %d bytes", limit)
+		case errors.Is(err, io.EOF):
+			return body, nil
+		case err != nil:
+			return nil, err
+		case len(body) == cap(body):
+			body = append(body, 0)[:len(body)] // Grows the buffer.
+		}
 	}
-	return data, nil
 }
 
+// minBodyBuffer and maxBodyBuffer bound the capacity of the buffer for a body before the body has
+// arrived.
+const (
+	minBodyBuffer = 512
+	maxBodyBuffer = 64 << 10
+)
+
 // SetReadDeadline sets the deadline for reading the body.
 func (r *Response) SetReadDeadline(t time.Time) { _ = r.conn.SetReadDeadline(t) } // A closed connection is reported by Read.
 
@@ -320,6 +374,7 @@
 	if r.conn == nil {
 		return
 	}
+	r.pool.held.release(r)
 	requestDone := true
 	if r.requestWritten != nil {
 		select {
@@ -345,6 +400,7 @@
 
 // abandon closes the connection, which cancels the request at the server.
 func (r *Response) abandon() {
+	r.pool.held.release(r)
 	r.stopWatching()
 	_ = r.conn.Close() // Already closed if the context has ended.
 	r.conn = nil
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -62,11 +62,15 @@
 	Names HeaderNames
 	// DialTimeout limits the time to open a connection; 0 means defaultDialTimeout.
 	DialTimeout time.Duration
+	// MaxHeldBytes limits the bytes of all responses that are held in memory; 0 means
+	// DefaultMaxHeldBytes.
+	MaxHeldBytes int64
 
 	mu     sync.Mutex
 	idle   map[string][]*conn
 	opened int64
 	reused int64
+	held   heldBytes
 }
 
 // conn is a connection, used by one request at a time.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -24,6 +24,8 @@
 	maxExtraAttempts = 2
 	// maxAnswerBytes bounds an answer that is not a stream.
 	maxAnswerBytes = 16 << 20
+	// maxFailureBytes bounds the answer of a server that failed or did not run the request.
+	maxFailureBytes = 64 << 10
 	// attemptTimeoutFactor times the route's target is how long an attempt of an
 	// idempotent request may take before the request is retried on another server.
 	attemptTimeoutFactor = 2
@@ -359,7 +361,7 @@
 // handleAnswer relays an answer or classifies it as a failure.
 func (s *session) handleAnswer(ctx context.Context, cancel context.CancelCauseFunc, server routing.Server, res *backend.Response) attemptResult {
 	if res.NotRun {
-		_, err := res.ReadBody(maxAnswerBytes)
+		_, err := res.ReadBody(maxFailureBytes)
 		if err == nil {
 			err = errors.Errorf("server did not run the request, status %d", res.Status)
 		}
@@ -381,12 +383,18 @@
 		return s.relay(ctx, cancel, server, res)
 	}
 	s.countUsage()
-	body, err := res.ReadBody(maxAnswerBytes)
+	impliesNotRun := problem.ImpliesNotRun(res.Status)
+	failed := impliesNotRun || res.Status >= http.StatusInternalServerError
+	limit := int64(maxAnswerBytes)
+	if failed {
+		limit = maxFailureBytes
+	}
+	body, err := res.ReadBody(limit)
 	if err != nil {
 		return s.handleBodyError(ctx, server, err)
 	}
 	a := &answer{status: res.Status, header: s.g.Protocol.Response(endToEndHeaders(res.Header)), body: body}
-	if impliesNotRun := problem.ImpliesNotRun(res.Status); impliesNotRun || res.Status >= http.StatusInternalServerError {
+	if failed {
 		err := errors.Errorf("server answered status %d", res.Status)
 		s.logAttempt(server, dispatch.Broken, err)
 		if impliesNotRun {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -68,6 +68,9 @@
 	for {
 		n, err := res.Read(buffer)
 		pending = append(pending, buffer[:n]...)
+		if e := res.Hold(cap(pending)); e != nil {
+			return s.handleBrokenStream(ctx, server, e)
+		}
 		end := bytes.LastIndex(pending, []byte("\n\n"))
 		if end >= 0 {
 			if writeErr := s.writeEvents(res, pending[:end+2]); writeErr != nil {
