--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -182,6 +182,8 @@
 		return s.noteUnreadable(now, m, r.Revision)
 	case r.Server == nil:
 		return s.endRegistration(now, m, r.Revision)
+	case m != nil && contradicts(m.Server, *r.Server):
+		return s.noteUnreadable(now, m, r.Revision)
 	}
 	if m == nil || m.Incarnation != r.Server.Incarnation {
 		return s.add(now, m, r)
@@ -203,6 +205,15 @@
 	return Change{Member: *m, Event: Changed}, confirmed || before != m.Server
 }
 
+// contradicts reports whether a registration can't be that of the server that registered before: a
+// server that stated its start time states it always, and keeps its service until it starts anew.
+func contradicts(before, registered Server) bool {
+	if before.Incarnation == 0 {
+		return false
+	}
+	return registered.Incarnation == 0 || registered.Incarnation == before.Incarnation && registered.Service != before.Service
+}
+
 func (s *Set) add(now time.Time, old *Member, r Registration) (Change, bool) {
 	m := &Member{Server: *r.Server, revision: r.Revision, UpdatedAt: now}
 	s.members[r.ID] = m
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -117,6 +117,27 @@
 	}
 }
 
+// TestRegistrationOfAnotherService guards against sending requests of one service to a server of
+// another, because another writer changed the service in its registration.
+func TestRegistrationOfAnotherService(t *testing.T) {
+	for name, incarnation := range map[string]int64{"start time missing": 0, "same start time": 7} {
+		s := NewSet()
+		own := registration("a", 1, 7, false)
+		own.Server.Service = "own"
+		s.Replace(at(0), 10, []Registration{own})
+		odd := registration("a", 11, incarnation, false)
+		odd.Server.Service = "other"
+		s.Apply(at(time.Second), odd)
+		if m := s.Members()[0]; m.Service != "own" || !m.Accepting() {
+			t.Errorf("%s: member %+v", name, m)
+		}
+		s.Expire(at(time.Second + unreadableGrace))
+		if got := acceptingIDs(s); got != "" {
+			t.Errorf("%s: accepting %q after the grace time, want none", name, got)
+		}
+	}
+}
+
 // TestLeavingByAnswer guards against new work for a server that stated in an answer that it is
 // leaving, and against keeping work from its next incarnation.
 func TestLeavingByAnswer(t *testing.T) {
