gateway: streams stay at a server that is leaving

Cause: the daemon closed the connections of streams at a leaving server to move them, and took that for the end of their runs. Not every server drops a request when its connection closes, and nothing waited for the end.

Change: streams stay where they are. If their server ends first, they go on at another one, as after a crash; this costs the retry budget, which moves did not, although each is one more arrival at the service.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -234,12 +234,6 @@
 		}
 	})
 	defer stopOnDrain()
-	if s.stop != nil {
-		select {
-		case <-s.stop: // Drop a stop meant for an earlier attempt.
-		default:
-		}
-	}
 	s.attemptsSent++
 	s.logRouting(grant)
 	g.demand.addSentPrompt(s.service, &s.call, grant.Decision.CachedTokens)
@@ -268,7 +262,6 @@
 // Reasons for which an attempt is cancelled.
 const (
 	errAttemptTimeout    = errors.ConstError("no answer in time")
-	errServerLeaving     = errors.ConstError("server is leaving")
 	errServerUnreachable = errors.ConstError("server sends nothing and can't be reached")
 	errStreamStalled     = errors.ConstError("stream stalls within an event")
 	errDrained           = errors.ConstError("daemon ends")
@@ -335,7 +328,7 @@
 // what its requests take.
 func (s *session) suspectsServer(ctx context.Context) bool {
 	switch cause := context.Cause(ctx); {
-	case errors.Is(cause, errServerLeaving), errors.Is(cause, errDrained):
+	case errors.Is(cause, errDrained):
 		return false
 	case errors.Is(cause, errAttemptTimeout):
 		return time.Since(s.received) >= suspectAfter
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -224,7 +224,7 @@
 	}
 }
 
-func (c *control) serverChanged(now time.Time, change fleet.Change) {
+func (c *control) serverChanged(change fleet.Change) {
 	m := change.Member
 	c.changed = true
 	if change.Event != fleet.Changed {
@@ -232,9 +232,6 @@
 			"ServerPlace", m.Place, "Address", m.Address, "Slots", m.Slots, "Reclaimable", m.Reclaimable,
 			"Remaining", m.Remaining, "Warmup", m.Warmup)
 	}
-	if change.Event == fleet.Leaving {
-		c.g.stopRunsOnLeavingServer(now, m)
-	}
 }
 
 // suspectServer keeps new work away from a server after a failed attempt.
@@ -313,7 +310,7 @@
 // expire drops lapsed registrations, suspicions and silent peers.
 func (c *control) expire(now time.Time) {
 	for _, change := range c.fleet.Expire(now) {
-		c.serverChanged(now, change)
+		c.serverChanged(change)
 	}
 	if c.rates.Expire(now) {
 		c.changed = true
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"time"
-
-	"apricotbridge/internal/fleet"
 )
 
 const (
@@ -22,12 +20,6 @@
 	drainMargin = 400 * time.Millisecond
 	// drainPollInterval is the time between checks for requests in flight.
 	drainPollInterval = 20 * time.Millisecond
-	// leavingRunShare is the part of a leaving server's remaining time in which its runs
-	// may end by themselves before they are moved.
-	leavingRunShare = 0.4
-	// defaultLeavingTime is the assumed remaining time of a leaving server that does not
-	// state it.
-	defaultLeavingTime = 3 * time.Second
 )
 
 // Drain takes the daemon out of service. Callers are given other addresses at once;
@@ -76,16 +68,3 @@
 	}
 	return age < time.Duration(earlyShare*float64(g.Bounds.GracePeriod)) || !deadline.After(started.Add(g.Bounds.GracePeriod-drainMargin))
 }
-
-// stopRunsOnLeavingServer stops the runs of a leaving server after leavingRunShare of its
-// remaining time, so that those move to other servers whose routes allow it.
-func (g *Gateway) stopRunsOnLeavingServer(now time.Time, m fleet.Member) {
-	left := defaultLeavingTime
-	if !m.EndsAt.IsZero() {
-		left = m.EndsAt.Sub(now)
-	}
-	time.AfterFunc(time.Duration(float64(left)*leavingRunShare), func() {
-		stopped := g.dispatcher.StopRequestsAt(m.ID, m.Incarnation, 0)
-		g.Log.Info("runs of a leaving server stopped", "Server", m.ID, "Runs", stopped)
-	})
-}
--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -14,7 +14,7 @@
 	var news []fleet.Incarnation
 	for _, i := range servers {
 		if change, ok := c.fleet.NoteLeaving(now, i); ok {
-			c.serverChanged(now, change)
+			c.serverChanged(change)
 			news = append(news, i)
 		}
 	}
--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -59,7 +59,7 @@
 	c.logUnreadable(list)
 	m := message.Listing{Revision: revision}
 	for _, change := range c.fleet.Replace(now, revision, list) {
-		c.serverChanged(now, change)
+		c.serverChanged(change)
 		e, ok := byID[change.Member.ID]
 		if !ok {
 			e = keyvalue.Entry{Key: c.g.Keys.Servers + change.Member.ID, Revision: revision, Era: era, Deleted: true}
@@ -127,7 +127,7 @@
 	for _, e := range m.Changes {
 		r := c.registration(keyvalue.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision, Era: e.Era, Deleted: e.Deleted})
 		if change, ok := c.fleet.Apply(now, r); ok {
-			c.serverChanged(now, change)
+			c.serverChanged(change)
 		}
 	}
 	if c.topology.ByPlace && c.topology.Delegate && from.Place != c.g.Place && !m.Complete {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -108,13 +108,15 @@
 }
 
 // watchRun watches the run of a stream until ctx ends. It cancels the attempt if the stream can be
-// resumed on another server, and its server is leaving, stalls within an event, or sends nothing and
-// can't be reached. A server that is reached may still work on the stream, so that its silence
-// alone ends nothing. If the route allows no further attempt, the stream continues for as long as
-// its server runs.
+// resumed on another server, and its server stalls within an event, or sends nothing and can't be
+// reached. A server that is reached, also one that is leaving, may work on the stream even after its
+// connection has closed, so that the stream continues there for as long as the server runs.
 func (s *session) watchRun(ctx context.Context, cancel context.CancelCauseFunc, server routing.Server, progress *streamProgress) <-chan struct{} {
 	done := make(chan struct{})
-	movable := s.route.Repeat == route.Resume && !s.attemptsExhausted()
+	if s.route.Repeat != route.Resume || s.attemptsExhausted() {
+		close(done)
+		return done
+	}
 	maxSilence := max(silentGapFactor*s.route.TargetEventGap, minStreamSilence)
 	go func() {
 		defer close(done)
@@ -122,13 +124,9 @@
 		defer silence.Stop()
 		for {
 			select {
-			case leaving := <-s.stop:
-				if leaving && movable {
-					cancel(errServerLeaving)
-				}
 			case <-silence.C:
 				next := maxSilence
-				if last := progress.lastEventAt.Load(); movable && last != nil {
+				if last := progress.lastEventAt.Load(); last != nil {
 					next = maxSilence - time.Since(*last)
 				}
 				if next <= 0 {
@@ -173,12 +171,8 @@
 		// on: it may be the reason why the server ended.
 		s.attemptsMayHaveRun--
 	}
-	ending := dispatch.Broken
-	if errors.Is(context.Cause(ctx), errServerLeaving) {
-		ending = dispatch.Stopped
-	}
-	s.logAttempt(server, ending, err)
-	return attemptResult{ending: ending, err: err}
+	s.logAttempt(server, dispatch.Broken, err)
+	return attemptResult{ending: dispatch.Broken, err: err}
 }
 
 // errNotNextEvent means that a resumed stream does not continue after the last event.
--- a/internal/gateway/retries_test.go
+++ b/internal/gateway/retries_test.go
@@ -7,9 +7,9 @@
 	"time"
 )
 
-// TestLeavingServerKeepsToAttemptLimit guards against a stream that is moved away from a
-// leaving server to more servers than its route allows.
-func TestLeavingServerKeepsToAttemptLimit(t *testing.T) {
+// TestStreamStaysAtLeavingServer guards against a stream that runs at a second server while the one
+// that is leaving still works on it, and at more servers than its route allows.
+func TestStreamStaysAtLeavingServer(t *testing.T) {
 	for _, c := range []struct {
 		name     string
 		attempts int
@@ -18,8 +18,10 @@
 	}{
 		{"first attempt is the last", 1, 0},
 		{"last attempt after a failure", 2, 1},
+		{"another attempt is allowed", 2, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			env := newTestEnv(t)
 			env.configuration.Version++
 			for i := range env.configuration.Routes {
@@ -50,13 +52,13 @@
 			ended := make(chan reply, 1)
 			go func() { ended <- gw.send(t.Context(), http.MethodPost, "/stream/") }()
 			env.register(servers[<-streaming], "model", true)
-			time.Sleep(defaultLeavingTime) // Runs are stopped after leavingRunShare of it.
+			time.Sleep(3 * time.Second) // The server works on; the platform lets it run for as long.
 			close(release)
 			if got := <-ended; got.err != nil || got.body != events(1, 9) {
 				t.Errorf("got %q, error %v", got.body, got.err)
 			}
-			if n := int(runs.Load()); n > c.attempts {
-				t.Errorf("the stream ran on %d servers, the route allows %d", n, c.attempts)
+			if n, want := int(runs.Load()), c.failures+1; n != want {
+				t.Errorf("the stream ran on %d servers, want %d", n, want)
 			}
 		})
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -123,8 +123,6 @@
 	// sentTo holds the addresses of the servers to which the request was sent.
 	sentTo []string
 	stream streamState
-	// stop asks the running attempt to end; true means that its server is leaving.
-	stop chan bool
 }
 
 // serve handles one request.
@@ -303,15 +301,6 @@
 	for _, part := range s.call.SharedParts {
 		w.Suspects = append(w.Suspects, quarantine.Suspect{Fingerprint: part, Part: true})
 	}
-	if s.route.Stream {
-		s.stop = make(chan bool, 1)
-		w.Stop = func(leaving bool) {
-			select {
-			case s.stop <- leaving:
-			default: // A stop is already pending.
-			}
-		}
-	}
 	return w
 }
 
