gateway: ids of a stream's events increase, not always by one

Cause: checkEvents required consecutive ids of every event; the protocol asks for increasing ones. The check is there for continued streams.

Change: ids have to increase; the first event of a run that continues the stream of another may not be further from the last one than the largest step so far. With steps of one this is as strict as before.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -270,10 +270,7 @@
 // backendRequest builds the request for a backend server.
 func (s *session) backendRequest(server routing.Server, remaining time.Duration) *backend.Request {
 	info := ForwardInfo{
-		Server: server.ID, Organisation: s.organisation(), Remaining: remaining, Rank: s.rank, Engine: s.engine, LastEventID: s.call.LastEventID,
-	}
-	if id := s.stream.lastEventID; id != "" {
-		info.LastEventID = id
+		Server: server.ID, Organisation: s.organisation(), Remaining: remaining, Rank: s.rank, Engine: s.engine, LastEventID: s.stream.lastEventID,
 	}
 	target := s.r.RequestURI
 	if target == "" || target[0] != '/' {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -37,8 +37,11 @@
 	headersSent bool
 	// begun is headersSent for other goroutines.
 	begun atomic.Bool
-	// lastEventID is the id of the last event written to the caller.
+	// lastEventID is the id of the last event that the caller has, also of an earlier request
+	// that this one continues.
 	lastEventID string
+	// maxStep is the largest difference between the ids of two consecutive events.
+	maxStep int
 	// eventCount is the number of events written to the caller.
 	eventCount int
 	// firstEventAt is when the running attempt delivered its first event, and survived
@@ -236,10 +239,13 @@
 	s.w.WriteHeader(res.Status)
 }
 
-// checkEvents checks that the ids of events are consecutive. It returns the last id and
-// the number of events.
+// checkEvents checks the ids of the next events of a run. They increase, not always by one: a server
+// may number its events by the tokens that they hold. The first event of a run that continues the
+// stream of another has to be the next one, so that its id exceeds the last one by at most the
+// largest step so far. It returns the last id and the number of events.
 func (t *streamState) checkEvents(events []byte) (last string, count int, err error) {
 	last = t.lastEventID
+	continues := t.eventCount > 0 && t.firstEventAt.IsZero()
 	for event := range bytes.SplitSeq(events, []byte("\n\n")) {
 		if len(event) == 0 {
 			continue
@@ -250,16 +256,33 @@
 			t.hasUnnumbered = true
 			continue
 		}
-		if previous, e := strconv.Atoi(last); e == nil {
-			if current, e := strconv.Atoi(id); e == nil && current != previous+1 {
+		if step, ok := idStep(last, id); ok {
+			if step < 1 && last != "" || continues && step > max(t.maxStep, 1) {
 				return "", 0, errors.Annotatef(errNotNextEvent, "event %q after %q", id, last)
 			}
+			t.maxStep = max(t.maxStep, step)
 		}
-		last = id
+		last, continues = id, false
 	}
 	return last, count, nil
 }
 
+// idStep returns the difference between the ids of two consecutive events, if both are numbers. The
+// event before the first one has no id and counts as number 0.
+func idStep(last, id string) (int, bool) {
+	previous, current := 0, 0
+	var err error
+	if last != "" {
+		if previous, err = strconv.Atoi(last); err != nil {
+			return 0, false
+		}
+	}
+	if current, err = strconv.Atoi(id); err != nil {
+		return 0, false
+	}
+	return current - previous, true
+}
+
 // eventID returns the id of an event, or an empty string if it has none.
 func eventID(event []byte) string {
 	for line := range bytes.SplitSeq(event, []byte("\n")) {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -145,6 +145,7 @@
 		return problem.New(problem.BadRequest, "%v", err)
 	}
 	s.call = call
+	s.stream.lastEventID = call.LastEventID
 	if missing := s.view.missing(); missing != "" {
 		p := problem.New(problem.NoCapacity, "%s not known yet", missing)
 		p.RetryAfter = noConfigurationRetryAfter
