gateway: a daemon that does not know the others yet has one retry

Cause: the part of the burst is set with the list of daemons. Until then the defaults of the dispatcher held, which are for the project's own interface.

Change: the gateway starts with the least burst. The share is set as well.

Evidence: TestRetryBurstOfUnknownDaemons had 100 retries before and has 1.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -188,6 +188,8 @@
 	router := routing.New(routing.Options{MaxBacklog: maxServerBacklog, SharedLoads: true})
 	g.dispatcher = dispatch.New(queue, router, quarantine.New(quarantine.Options{}), random)
 	g.dispatcher.ServersPreempt = true
+	// The part of the burst is not known before the other daemons are.
+	g.dispatcher.SetRetryBudget(g.Bounds.RetryShare*retryBudgetShare, minRetryBurst)
 	g.dispatcher.Evidence = &quarantine.Evidence{}
 	g.events = make(chan func(*control), 1024)
 	g.quotas = quota.NewLimiter()
--- a/internal/gateway/retries_test.go
+++ b/internal/gateway/retries_test.go
@@ -76,6 +76,17 @@
 	}
 }
 
+// TestRetryBurstOfUnknownDaemons guards against a daemon that may retry more, until it has read the list
+// of daemons, than all of them together.
+func TestRetryBurstOfUnknownDaemons(t *testing.T) {
+	g := &Gateway{Bounds: Bounds{RetryShare: 0.2, RetryBurst: 50}}
+	g.init()
+	defer g.endDrain()
+	if left := g.dispatcher.Status(time.Now()).RetriesLeft; left != minRetryBurst {
+		t.Errorf("%v retries before the daemons are known, want %d", left, minRetryBurst)
+	}
+}
+
 // TestStreamContinuesWhenItsServerEnded guards against ending a stream with its server although
 // a server that has ended does not count against the attempts of its route.
 func TestStreamContinuesWhenItsServerEnded(t *testing.T) {
