--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -270,17 +270,16 @@
 // idStep returns the difference between the ids of two consecutive events, if both are numbers. The
 // event before the first one has no id and counts as number 0.
 func idStep(last, id string) (int, bool) {
-	previous, current := 0, 0
-	var err error
+	previous := 0
 	if last != "" {
-		if previous, err = strconv.Atoi(last); err != nil {
+		n, err := strconv.Atoi(last)
+		if err != nil {
 			return 0, false
 		}
+		previous = n
 	}
-	if current, err = strconv.Atoi(id); err != nil {
-		return 0, false
-	}
-	return current - previous, true
+	current, err := strconv.Atoi(id)
+	return current - previous, err == nil
 }
 
 // eventID returns the id of an event, or an empty string if it has none.
