gateway: repeat a listing of the servers to a peer that missed it

Requests reached a server that had left: a daemon that had no link to its peers at the moment of a listing never got it. Changes of the servers were passed on once.

A status now states as of which revision of the store the sender's list of servers is complete, and a peer that stays behind gets the changes since then again, from a few daemons and at most once a second. If that does not bring it forward, or it is too far behind, it gets the complete list. What is repeated counts from when the sender learned of it, so that a server that is kept for a while after an outage is not kept longer for it.

TestMissedListingIsSentAgain failed before, in a mesh and with links by place: after 10 s the daemon still sent requests to the servers that had left. It passes now, within 2.5 s.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -92,10 +92,13 @@
 	peers             map[string]*peerState
 	topology          topology
 	// serversListed means that the store's list of servers was read at least once, by this
-	// daemon or by a peer that sent it. entries holds the entries as of listRevision, by key.
+	// daemon or by a peer that sent it. entries holds the entries as of asOf, by key.
 	serversListed bool
 	entries       map[string]message.StoreEntry
-	listRevision  int64
+	asOf          storeMoment
+	// listed holds the changes of entries since keptFrom, for peers that missed them.
+	listed        []listedChange
+	keptFrom      storeMoment
 	daemonsListed bool
 	changed       bool
 }
@@ -116,6 +119,13 @@
 	heardAt, suppliedAt time.Time
 	// revision is the version of the configuration in the last status.
 	revision int64
+	// expected is a moment that the peer's list of servers has not reached since expectedAt.
+	expected   storeMoment
+	expectedAt time.Time
+	// repeatedFrom is the moment of the peer's list when listings were last repeated to it, and
+	// repeats counts how often they were.
+	repeatedFrom storeMoment
+	repeats      int
 	// refusedSent is when the peer was last sent what this daemon refuses.
 	refusedSent time.Time
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -124,6 +124,8 @@
 	// storeReadAt is when this daemon, or a peer that sent it a listing, last read the
 	// store.
 	storeReadAt atomic.Pointer[time.Time]
+	// serversAsOf is as of when the list of servers is complete.
+	serversAsOf atomic.Pointer[storeMoment]
 	// lastDocument is the last configuration that was decoded.
 	lastDocument   atomic.Pointer[[]byte]
 	events         chan func(*control)
--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -49,7 +49,6 @@
 	byID := make(map[string]keyvalue.Entry, len(entries))
 	list := make([]fleet.Registration, 0, len(entries))
 	clear(c.entries)
-	c.listRevision = revision
 	for _, e := range entries {
 		r := c.registration(e)
 		byID[r.ID] = e
@@ -57,7 +56,7 @@
 		c.entries[e.Key] = storeEntry(e)
 	}
 	c.logUnreadable(list)
-	m := message.Listing{Revision: revision}
+	m := message.Listing{Revision: revision, Era: era}
 	for _, change := range c.fleet.Replace(now, revision, list) {
 		c.serverChanged(change)
 		e, ok := byID[change.Member.ID]
@@ -73,6 +72,8 @@
 	if c.index != nil {
 		m.Version = c.index.Version
 	}
+	c.noteListed(now, storeMoment{era, revision}, m.Changes)
+	c.setAsOf(storeMoment{era, revision})
 	c.sendListing(m, func(peerState) bool { return true })
 }
 
@@ -117,27 +118,68 @@
 // applyPeerListing applies the server changes that a peer read from the store. If this
 // daemon then has the same state as the peer, it need not read the store itself. A
 // delegate forwards listings of other places within its own place. A complete listing gives
-// a daemon its first list; if it has one, the entries are applied like changes.
+// a daemon its first list, or replaces an older one; otherwise its entries are applied like changes.
 func (c *control) applyPeerListing(now time.Time, from message.Hello, m message.Listing) {
-	if m.Complete && !c.serversListed {
+	first := m.Complete && !c.serversListed
+	if first {
 		c.g.Log.Info("servers listed", "Source", from.Daemon, "Revision", m.Revision, "Servers", len(m.Changes))
-		c.serversListed, c.changed, c.listRevision = true, true, m.Revision
+		c.serversListed, c.changed = true, true
 	}
-	c.keepEntries(now, m.Changes)
-	for _, e := range m.Changes {
-		r := c.registration(keyvalue.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision, Era: e.Era, Deleted: e.Deleted})
-		if change, ok := c.fleet.Apply(now, r); ok {
-			c.serverChanged(change)
-		}
+	moment := storeMoment{m.Era, m.Revision}
+	if c.noteEra(now, m.Era) && m.Complete && c.asOf.before(moment) {
+		c.replaceEntries(now, m)
+	} else {
+		c.applyEntries(now, m.Changes)
 	}
-	if c.topology.ByPlace && c.topology.Delegate && from.Place != c.g.Place && !m.Complete {
+	if c.topology.ByPlace && c.topology.Delegate && from.Place != c.g.Place && !m.Complete && !m.Repeated {
 		c.sendListing(m, func(p peerState) bool { return p.hello.Place == c.g.Place })
 	}
-	if c.serversListed && c.index != nil && c.index.Version >= m.Version && c.fleet.Hash() == m.Hash {
+	if !c.serversListed || c.fleet.Hash() != m.Hash {
+		return
+	}
+	if c.asOf.before(moment) {
+		if m.Complete {
+			c.listed, c.keptFrom = nil, moment
+		} else {
+			c.noteListed(now, moment, m.Changes)
+		}
+		c.setAsOf(moment)
+	}
+	// A supplied list is not fresh: unless it is the first, it does not defer the next read.
+	if supplied := m.Repeated || m.Complete && !first; !supplied && c.index != nil && c.index.Version >= m.Version {
 		c.g.storeReadAt.Store(&now)
 	}
 }
 
+// applyEntries applies entries that a peer sent as changes.
+func (c *control) applyEntries(now time.Time, entries []message.StoreEntry) {
+	c.keepEntries(now, entries)
+	for _, e := range entries {
+		learnedAt := now.Add(-time.Duration(e.Age) * time.Millisecond)
+		if change, ok := c.fleet.Apply(learnedAt, c.peerRegistration(e)); ok {
+			c.serverChanged(change)
+		}
+	}
+}
+
+// replaceEntries applies the complete listing of a peer.
+func (c *control) replaceEntries(now time.Time, m message.Listing) {
+	clear(c.entries)
+	c.keepEntries(now, m.Changes)
+	list := make([]fleet.Registration, len(m.Changes))
+	for i, e := range m.Changes {
+		list[i] = c.peerRegistration(e)
+	}
+	for _, change := range c.fleet.Replace(now, m.Revision, list) {
+		c.serverChanged(change)
+	}
+}
+
+// peerRegistration decodes an entry that a peer sent.
+func (c *control) peerRegistration(e message.StoreEntry) fleet.Registration {
+	return c.registration(keyvalue.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision, Era: e.Era, Deleted: e.Deleted})
+}
+
 // keepEntries keeps the entries of servers for supply.
 func (c *control) keepEntries(now time.Time, entries []message.StoreEntry) {
 	for _, e := range entries {
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -27,6 +27,9 @@
 	s := message.Status{Clock: time.Now().UnixMilli(), Draining: g.draining.Load(), Duty: g.holdsDuty.Load(), DutyGivenUp: g.dutyGivenUp.Load()}
 	v := g.view.Load()
 	s.ServersListed = v != nil && v.Members != nil
+	if m := g.serversAsOf.Load(); m != nil {
+		s.ServersEra, s.ServersRevision = m.era, m.revision
+	}
 	if c := v.Configuration(); c != nil {
 		s.Revision = c.Version
 	}
--- a/internal/gateway/supply.go
+++ b/internal/gateway/supply.go
@@ -46,6 +46,9 @@
 	lacksConfiguration := c.index != nil && s.Revision < c.index.Version &&
 		(s.Revision == 0 || now.Sub(c.adoptedAt) > configurationResendDelay)
 	lacksServers := c.serversListed && !s.ServersListed
+	if c.serversListed && s.ServersListed && p.missesListing(now, c.asOf, storeMoment{s.ServersEra, s.ServersRevision}) {
+		c.repeatListings(now, p, storeMoment{s.ServersEra, s.ServersRevision})
+	}
 	if !lacksConfiguration && !lacksServers || now.Sub(p.suppliedAt) < supplyInterval || !c.isSupplierOf(now, p) {
 		return
 	}
@@ -54,15 +57,27 @@
 		c.sendConfiguration([]string{p.hello.Daemon})
 	}
 	if lacksServers {
-		m := message.Listing{Revision: c.listRevision, Hash: c.fleet.Hash(), Complete: true}
-		if c.index != nil {
-			m.Version = c.index.Version
-		}
-		for _, e := range c.entries {
-			m.Changes = append(m.Changes, e)
-		}
-		c.sendListing(m, func(q peerState) bool { return q.hello.Daemon == p.hello.Daemon })
+		c.sendCompleteListing(p)
+	}
+}
+
+// sendCompleteListing sends a peer all entries of servers.
+func (c *control) sendCompleteListing(p *peerState) {
+	m := c.supplyListing()
+	m.Complete = true
+	for _, e := range c.entries {
+		m.Changes = append(m.Changes, e)
 	}
+	c.sendListing(m, func(q peerState) bool { return q.hello.Daemon == p.hello.Daemon })
+}
+
+// supplyListing returns a listing as of the latest one, without entries.
+func (c *control) supplyListing() message.Listing {
+	m := message.Listing{Era: c.asOf.era, Revision: c.asOf.revision, Hash: c.fleet.Hash()}
+	if c.index != nil {
+		m.Version = c.index.Version
+	}
+	return m
 }
 
 // isSupplierOf reports whether this daemon is one of those that send a peer what it lacks.
@@ -75,6 +90,12 @@
 	case c.topology.ByPlace:
 		return c.topology.Delegate
 	}
+	return c.isAmongFirst(p)
+}
+
+// isAmongFirst reports whether this daemon is one of the first suppliersPerPeer of its region, not
+// counting a peer.
+func (c *control) isAmongFirst(p *peerState) bool {
 	before := 0
 	for id, other := range c.peers {
 		if id < c.g.Daemon && id != p.hello.Daemon && other.hello.Region == c.g.Region {
--- a/internal/gateway/supply_test.go
+++ b/internal/gateway/supply_test.go
@@ -93,6 +93,50 @@
 	}
 }
 
+// missListing makes change, which alters the store, known to first while first has no link to second.
+func (env *testEnv) missListing(first, second *testGateway, change func(*control)) {
+	done := make(chan struct{})
+	first.post(func(c *control) {
+		defer close(done)
+		delete(c.peers, second.Daemon)
+		change(c)
+		entries, revision, err := env.store.List(env.t.Context(), c.g.Keys.Servers)
+		if err != nil {
+			env.t.Error(err)
+		}
+		c.applyListing(time.Now(), env.store.Era(), revision, entries)
+	})
+	<-done
+}
+
+// TestMissedListingIsSentAgain guards against a daemon that sends requests to a server that left
+// for as long as it can't read the store, because it missed one listing of its peers.
+func TestMissedListingIsSentAgain(t *testing.T) {
+	for _, meshMax := range []int{0, 1} {
+		t.Run(fmt.Sprint("mesh of ", meshMax), func(t *testing.T) {
+			env := newTestEnv(t)
+			leaving, ended := env.addServer("s1", "plain", signedAnswer("ok")), env.addServer("s2", "plain", signedAnswer("ok"))
+			first := env.startIn("g1", "a", meshMax)
+			waitFor(t, "the first daemon is ready", first.Ready)
+			env.gatewayStore = listsOnlyDaemons{env.store}
+			second := env.startIn("g2", "a", meshMax)
+			waitFor(t, "the second daemon is ready", second.Ready)
+			env.missListing(first, second, func(*control) {
+				env.register(leaving, "plain", true)
+				env.store.remove("servers/" + ended.id)
+			})
+			missed := time.Now()
+			waitFor(t, "the second daemon sends nothing to the servers that left", func() bool {
+				return !second.accepting("s1") && !second.accepting("s2")
+			})
+			// The shortest time that the platform leaves for it is 2.5 s.
+			if took := time.Since(missed); took > 2500*time.Millisecond {
+				t.Errorf("learned of after %v", took)
+			}
+		})
+	}
+}
+
 // TestStartOfAllReadsConfigurationOnce guards against daemons that each read everything from the
 // store when all start at once.
 func TestStartOfAllReadsConfigurationOnce(t *testing.T) {
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -339,12 +339,19 @@
 	// Entries that changed since the previous listing.
 	Changes []StoreEntry `json:"Changes,omitempty,omitzero"`
 
-	// Whether Changes has all entries, for a receiver without a list.
+	// Whether Changes has all entries, for a receiver without a list or with an old
+	// one.
 	Complete bool `json:"Complete,omitempty,omitzero"`
 
+	// Era of the store to which Revision belongs.
+	Era int64 `json:"Era,omitempty,omitzero"`
+
 	// Hash of the server list after Changes.
 	Hash uint64 `json:"Hash"`
 
+	// Whether Changes has entries of earlier listings, which the receiver has missed.
+	Repeated bool `json:"Repeated,omitempty,omitzero"`
+
 	// Revision of the store as of which the servers were listed.
 	Revision int64 `json:"Revision"`
 
@@ -531,12 +538,22 @@
 	// Prompts that the sender sent to backend servers since its last message.
 	Sent []SentPrompt `json:"Sent,omitempty,omitzero"`
 
+	// Era of the store to which ServersRevision belongs.
+	ServersEra int64 `json:"ServersEra,omitempty,omitzero"`
+
 	// Whether the sender has a list of the backend servers.
 	ServersListed bool `json:"ServersListed,omitempty,omitzero"`
+
+	// Revision of the store as of which the sender's list is complete.
+	ServersRevision int64 `json:"ServersRevision,omitempty,omitzero"`
 }
 
 // StoreEntry is a key of the store with its value.
 type StoreEntry struct {
+	// Time in milliseconds since the sender learned of the change, in a repeated
+	// listing.
+	Age int64 `json:"Age,omitempty,omitzero"`
+
 	// Whether the key was deleted.
 	Deleted bool `json:"Deleted,omitempty,omitzero"`
 
