gateway: pass on the end of a registration that may return

Requests reached a server that had left: after an outage of the store, or what one daemon takes for one, the daemon that reads the store keeps a server whose registration has ended for 2 s. It then passed nothing on, neither when it read the end nor when it dropped the server, because a listing held what changed in its own list. Peers that depend on its listings kept the server until they read the store themselves.

A listing now holds what changed in the store. An ended registration that the reader keeps is marked, so that peers keep the server for the same time and not longer; one that returns is passed on too.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -65,6 +65,9 @@
 	// Era is the era of the store to which Revision belongs.
 	Era    int64
 	Server *Server
+	// MayReturn is set for a deleted entry that may be written again, because the store was
+	// unavailable before.
+	MayReturn bool
 	// Unreadable is the reason why an entry that was not deleted names no server.
 	Unreadable string
 }
@@ -146,6 +149,12 @@
 	return &Set{members: map[string]*Member{}, leaving: map[Incarnation]leavingRecord{}, ended: map[Incarnation]endedRecord{}}
 }
 
+// Lapsed reports whether the registration of a server has ended and may return.
+func (s *Set) Lapsed(id string) bool {
+	m := s.members[id]
+	return m != nil && !m.lapsedAt.IsZero()
+}
+
 // NoteOutage records that the store did not answer.
 func (s *Set) NoteOutage(now time.Time) { s.lastOutage = now }
 
@@ -181,7 +190,7 @@
 	case r.Unreadable != "":
 		return s.noteUnreadable(now, m, r.Revision)
 	case r.Server == nil:
-		return s.endRegistration(now, m, r.Revision)
+		return s.endRegistration(now, m, r.Revision, r.MayReturn)
 	case m != nil && contradicts(m.Server, *r.Server):
 		return s.noteUnreadable(now, m, r.Revision)
 	}
@@ -270,8 +279,8 @@
 
 // endRegistration handles the end of a registration. Shortly after an outage, or if the store
 // came back from a copy without it, it keeps the member, which Expire removes if its
-// registration does not return.
-func (s *Set) endRegistration(now time.Time, m *Member, revision int64) (Change, bool) {
+// registration does not return. mayReturn means that a peer does so.
+func (s *Set) endRegistration(now time.Time, m *Member, revision int64, mayReturn bool) (Change, bool) {
 	if m == nil {
 		return Change{}, false
 	}
@@ -284,7 +293,7 @@
 	case !seen && now.Sub(s.restoredAt) < lapseGrace:
 		m.lapsedAt = s.restoredAt
 		return Change{}, false
-	case !s.lastOutage.IsZero() && now.Sub(s.lastOutage) < outageMemory:
+	case mayReturn, !s.lastOutage.IsZero() && now.Sub(s.lastOutage) < outageMemory:
 		m.lapsedAt = now
 		return Change{}, false
 	}
@@ -329,7 +338,7 @@
 		if present[id] || m.revision > revision {
 			continue
 		}
-		if c, ok := s.endRegistration(now, m, revision); ok {
+		if c, ok := s.endRegistration(now, m, revision, false); ok {
 			changes = append(changes, c)
 		}
 	}
--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -46,24 +46,39 @@
 	if first {
 		c.serversListed, c.changed = true, true
 	}
-	byID := make(map[string]keyvalue.Entry, len(entries))
 	list := make([]fleet.Registration, 0, len(entries))
-	clear(c.entries)
+	previous := c.entries
+	c.entries = make(map[string]message.StoreEntry, len(entries))
 	for _, e := range entries {
 		r := c.registration(e)
-		byID[r.ID] = e
 		list = append(list, r)
 		c.entries[e.Key] = storeEntry(e)
 	}
 	c.logUnreadable(list)
 	m := message.Listing{Revision: revision, Era: era}
+	changed := map[string]bool{}
 	for _, change := range c.fleet.Replace(now, revision, list) {
 		c.serverChanged(change)
-		e, ok := byID[change.Member.ID]
-		if !ok {
-			e = keyvalue.Entry{Key: c.g.Keys.Servers + change.Member.ID, Revision: revision, Era: era, Deleted: true}
+		changed[c.g.Keys.Servers+change.Member.ID] = true
+	}
+	// A registration that ended after an outage of the store, or returned, changes no member here.
+	for key := range previous {
+		if _, listed := c.entries[key]; !listed {
+			changed[key] = true
+		}
+	}
+	for key := range c.entries {
+		if _, listed := previous[key]; !listed {
+			changed[key] = true
 		}
-		m.Changes = append(m.Changes, storeEntry(e))
+	}
+	for key := range changed {
+		e, listed := c.entries[key]
+		if !listed {
+			lapsed := c.fleet.Lapsed(strings.TrimPrefix(key, c.g.Keys.Servers))
+			e = message.StoreEntry{Key: key, Revision: revision, Era: era, Deleted: true, MayReturn: lapsed}
+		}
+		m.Changes = append(m.Changes, e)
 	}
 	if first {
 		m.Changes = nil // Peers without a list are sent one by supply.
@@ -177,7 +192,9 @@
 
 // peerRegistration decodes an entry that a peer sent.
 func (c *control) peerRegistration(e message.StoreEntry) fleet.Registration {
-	return c.registration(keyvalue.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision, Era: e.Era, Deleted: e.Deleted})
+	r := c.registration(keyvalue.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision, Era: e.Era, Deleted: e.Deleted})
+	r.MayReturn = e.MayReturn
+	return r
 }
 
 // keepEntries keeps the entries of servers for supply.
--- a/internal/gateway/supply_test.go
+++ b/internal/gateway/supply_test.go
@@ -137,6 +137,46 @@
 	}
 }
 
+// followedBy starts a daemon that reads the store, and one that learns of it only from the first.
+func (env *testEnv) followedBy() (first, second *testGateway) {
+	first = env.startReady("g1")
+	env.gatewayStore = listsOnlyDaemons{env.store}
+	second = env.startReady("g2")
+	env.gatewayStore = nil
+	waitFor(env.t, "the daemons are linked", func() bool { return len(first.hub.Peers()) == 1 && len(second.hub.Peers()) == 1 })
+	return first, second
+}
+
+// TestEndOfRegistrationIsPassedOnAfterAnOutage guards against peers that send requests to a server
+// whose registration ended, because the daemon that read the store keeps it for a while.
+func TestEndOfRegistrationIsPassedOnAfterAnOutage(t *testing.T) {
+	env := newTestEnv(t)
+	ended := env.addServer("s1", "plain", signedAnswer("ok"))
+	returned := env.addServer("s2", "plain", signedAnswer("ok"))
+	first, second := env.followedBy()
+	first.post(func(c *control) { c.fleet.NoteOutage(time.Now()) })
+	env.store.remove("servers/" + ended.id)
+	env.store.remove("servers/" + returned.id)
+	waitFor(t, "the end is read", func() bool { return first.lapsed("s1") && first.lapsed("s2") })
+	read := time.Now()
+	env.register(returned, "plain", false)
+	waitFor(t, "the second daemon sends nothing to the ended server", func() bool { return !second.accepting("s1") })
+	if took := time.Since(read); took > 2500*time.Millisecond {
+		t.Errorf("learned of after %v", took)
+	}
+	time.Sleep(2 * expireInterval)
+	if !first.accepting("s2") || !second.accepting("s2") {
+		t.Error("the server whose registration returned is not used")
+	}
+}
+
+// lapsed reports whether the registration of a server has ended and may return.
+func (gw *testGateway) lapsed(server string) bool {
+	result := make(chan bool, 1)
+	gw.post(func(c *control) { result <- c.fleet.Lapsed(server) })
+	return <-result
+}
+
 // TestStartOfAllReadsConfigurationOnce guards against daemons that each read everything from the
 // store when all start at once.
 func TestStartOfAllReadsConfigurationOnce(t *testing.T) {
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -563,6 +563,10 @@
 	// Key.
 	Key string `json:"Key"`
 
+	// Whether the sender keeps the server of a deleted key for a while, because the
+	// store was unavailable before.
+	MayReturn bool `json:"MayReturn,omitempty,omitzero"`
+
 	// Revision of the last change of the key.
 	Revision int64 `json:"Revision"`
 
