gateway: read the servers before the configuration

Listings then queued behind the configuration on the links to the peers too.

The servers are read first, and their changes are applied and sent at once. A listing that is sent before the configuration was read has no version and does not keep peers from reading the store.

TestServersAreFollowedWithoutTheConfiguration failed before: the server counted as serving for over 10 s. It passes now.

--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -37,7 +37,8 @@
 }
 
 // applyListing applies a complete list of server entries, which the store returned in an era,
-// and sends the changes to all peers.
+// and sends the changes to all peers. They still read the store themselves unless confirmListing
+// follows.
 func (c *control) applyListing(now time.Time, era, revision int64, entries []keyvalue.Entry) {
 	if !c.noteEra(now, era) {
 		return
@@ -84,12 +85,18 @@
 		m.Changes = nil // Peers without a list are sent one by supply.
 	}
 	m.Hash = c.fleet.Hash()
-	if c.index != nil {
-		m.Version = c.index.Version
-	}
 	c.noteListed(now, storeMoment{era, revision}, m.Changes)
 	c.setAsOf(storeMoment{era, revision})
-	c.sendListing(m, func(peerState) bool { return true })
+	if len(m.Changes) > 0 {
+		c.sendListing(m, func(peerState) bool { return true })
+	}
+}
+
+// confirmListing tells all peers that this daemon has read the configuration too, after the servers.
+func (c *control) confirmListing() {
+	if c.serversListed {
+		c.sendListing(c.latestListing(), func(peerState) bool { return true })
+	}
 }
 
 // logUnreadable logs the first registration that has become unreadable since the previous
@@ -160,8 +167,9 @@
 		}
 		c.setAsOf(moment)
 	}
-	// A supplied list is not fresh: unless it is the first, it does not defer the next read.
-	if supplied := m.Repeated || m.Complete && !first; !supplied && c.index != nil && c.index.Version >= m.Version {
+	// A supplied list is not fresh: unless it is the first, it does not defer the next read. Nor does
+	// one without a version, whose sender has not read the configuration.
+	if supplied := m.Repeated || m.Complete && !first; !supplied && m.Version > 0 && c.index != nil && c.index.Version >= m.Version {
 		c.g.storeReadAt.Store(&now)
 	}
 }
--- a/internal/gateway/missed.go
+++ b/internal/gateway/missed.go
@@ -75,7 +75,7 @@
 		c.sendCompleteListing(p)
 		return
 	}
-	m := c.supplyListing()
+	m := c.latestListing()
 	m.Repeated = true
 	for _, change := range c.listed {
 		if peers.before(change.listing) {
--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -169,12 +169,9 @@
 	return time.Duration(pollIntervalShare * float64(cmp.Or(g.Bounds.ApplyWithin, defaultApplyTime)))
 }
 
-// readStore reads the configuration and the servers' entries once.
+// readStore reads the servers' entries and the configuration once. The entries come first and take
+// effect at once: a configuration with many routes takes long to read.
 func (g *Gateway) readStore(ctx context.Context) error {
-	document, err := g.Store.Get(ctx, g.Keys.Configuration)
-	if err != nil && !errors.Is(err, keyvalue.ErrNotFound) {
-		return errors.Annotate(err, "read the configuration")
-	}
 	eraBefore := g.Store.Era()
 	entries, revision, err := g.Store.List(ctx, g.Keys.Servers)
 	era := g.Store.Era()
@@ -184,12 +181,18 @@
 	if err != nil {
 		return errors.Annotate(err, "list the servers")
 	}
+	listedAt := time.Now()
+	g.post(func(c *control) { c.applyListing(listedAt, era, revision, entries) })
+	document, err := g.Store.Get(ctx, g.Keys.Configuration)
+	if err != nil && !errors.Is(err, keyvalue.ErrNotFound) {
+		return errors.Annotate(err, "read the configuration")
+	}
 	if document.Revision > 0 {
 		g.offerConfiguration(document.Value, "Store")
 	}
 	now := time.Now()
 	g.storeReadAt.Store(&now)
-	g.post(func(c *control) { c.applyListing(now, era, revision, entries) })
+	g.post((*control).confirmListing)
 	return nil
 }
 
--- a/internal/gateway/supply.go
+++ b/internal/gateway/supply.go
@@ -63,7 +63,7 @@
 
 // sendCompleteListing sends a peer all entries of servers.
 func (c *control) sendCompleteListing(p *peerState) {
-	m := c.supplyListing()
+	m := c.latestListing()
 	m.Complete = true
 	for _, e := range c.entries {
 		m.Changes = append(m.Changes, e)
@@ -71,8 +71,8 @@
 	c.sendListing(m, func(q peerState) bool { return q.hello.Daemon == p.hello.Daemon })
 }
 
-// supplyListing returns a listing as of the latest one, without entries.
-func (c *control) supplyListing() message.Listing {
+// latestListing returns a listing as of the latest one, without entries.
+func (c *control) latestListing() message.Listing {
 	m := message.Listing{Era: c.asOf.era, Revision: c.asOf.revision, Hash: c.fleet.Hash()}
 	if c.index != nil {
 		m.Version = c.index.Version
--- a/internal/gateway/supply_test.go
+++ b/internal/gateway/supply_test.go
@@ -177,6 +177,27 @@
 	return <-result
 }
 
+// TestServersAreFollowedWithoutTheConfiguration guards against sending requests to a server that
+// left because the configuration takes long to read.
+func TestServersAreFollowedWithoutTheConfiguration(t *testing.T) {
+	env := newTestEnv(t)
+	leaving := env.addServer("s1", "plain", signedAnswer("ok"))
+	cut := &severableStore{store: env.store}
+	env.gatewayStore = cut
+	gw := env.startReady("g1")
+	follower := env.startReady("g2")
+	waitFor(t, "the daemons are linked", func() bool { return len(gw.hub.Peers()) == 1 && len(follower.hub.Peers()) == 1 })
+	cut.severed.Store(true)
+	env.register(leaving, "plain", true)
+	for _, g := range []*testGateway{gw, follower} {
+		waitFor(t, "the server is known to leave", func() bool { return !g.accepting("s1") })
+	}
+	cut.severed.Store(false)
+	env.configuration.Version = 7
+	env.configure()
+	waitFor(t, "the new configuration is in force", func() bool { return gw.view.Load().Configuration().Version == 7 })
+}
+
 // TestStartOfAllReadsConfigurationOnce guards against daemons that each read everything from the
 // store when all start at once.
 func TestStartOfAllReadsConfigurationOnce(t *testing.T) {
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -355,7 +355,7 @@
 	// Revision of the store as of which the servers were listed.
 	Revision int64 `json:"Revision"`
 
-	// Configuration version that was read.
+	// Configuration version that was read; 0 means that none was read yet.
 	Version int64 `json:"Version"`
 }
 
