gateway: send a configuration to another region once

Requests reached a server that had left: news of the servers waited behind copies of a large configuration on the link between two regions. Each daemon that read the configuration, and with links by place each delegate that received it, sent it to every delegate of the other region, and again every second while a status showed an older version, which it does for as long as the copies wait.

One daemon of a region, the first by id, sends a configuration to the other regions; the second sends it after 0.5 s and the others after 2 s to peers whose status is still older. No daemon sends a peer a second copy of a version within 3 s.

TestConfigurationCrossesToARegionOnce failed before: each peer of the other region got 3 copies from 3 daemons, in 4 of 6 cases. TestConfigurationIsSentAgainToAnotherRegion: the second daemon sends it if the first one fails.

--- a/internal/gateway/missed.go
+++ b/internal/gateway/missed.go
@@ -93,5 +93,5 @@
 	if c.topology.ByPlace {
 		return c.topology.Delegate
 	}
-	return c.isAmongFirst(p)
+	return c.position(p) < suppliersPerPeer
 }
--- a/internal/gateway/supply.go
+++ b/internal/gateway/supply.go
@@ -44,7 +44,7 @@
 // lacks them. What a peer knows is as recent as what it serves with itself.
 func (c *control) supply(now time.Time, p *peerState, s message.Status) {
 	lacksConfiguration := c.index != nil && s.Revision < c.index.Version &&
-		(s.Revision == 0 || now.Sub(c.adoptedAt) > configurationResendDelay)
+		(s.Revision == 0 || c.mayResendConfiguration(now, p))
 	lacksServers := c.serversListed && !s.ServersListed
 	if c.serversListed && s.ServersListed && p.missesListing(now, c.asOf, storeMoment{s.ServersEra, s.ServersRevision}) {
 		c.repeatListings(now, p, storeMoment{s.ServersEra, s.ServersRevision})
@@ -54,7 +54,7 @@
 	}
 	p.suppliedAt = now
 	if lacksConfiguration {
-		c.sendConfiguration([]string{p.hello.Daemon})
+		c.sendConfiguration(now, []string{p.hello.Daemon})
 	}
 	if lacksServers {
 		c.sendCompleteListing(p)
@@ -90,19 +90,19 @@
 	case c.topology.ByPlace:
 		return c.topology.Delegate
 	}
-	return c.isAmongFirst(p)
+	return c.position(p) < suppliersPerPeer
 }
 
-// isAmongFirst reports whether this daemon is one of the first suppliersPerPeer of its region, not
-// counting a peer.
-func (c *control) isAmongFirst(p *peerState) bool {
+// position returns the number of daemons of this daemon's region that come before it by id, without a
+// peer.
+func (c *control) position(p *peerState) int {
 	before := 0
 	for id, other := range c.peers {
 		if id < c.g.Daemon && id != p.hello.Daemon && other.hello.Region == c.g.Region {
 			before++
 		}
 	}
-	return before < suppliersPerPeer
+	return before
 }
 
 // firstReadDelay returns how long after its start a daemon waits for what its peers know. The
