gateway: log the software version of servers and what takes a stream up

The log could not tell the hypotheses on joined streams apart: it had neither the version of the servers of an attempt nor whether a request takes a stream up. Each routing decision now names the version of its server, the last event that the caller has and the request that began the stream; new servers are logged with their version. No decision depends on it yet.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -42,7 +42,9 @@
 	Incarnation int64
 	Address     string
 	Service     string
-	Place       string
+	// Version is that of the server's software. Versions have no order.
+	Version string
+	Place   string
 	// Slots is how many requests the server runs at a time.
 	Slots int
 	// Leaving means that the server takes no new work.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -423,7 +423,7 @@
 func (s *session) logRouting(grant dispatch.Grant) {
 	d, t := grant.Decision, grant.Decision.Terms
 	s.g.Log.Info("routing decision", logs.RequestID, s.call.ID, "Attempt", s.attemptsSent, "Server", grant.Server.ID,
-		"ServerPlace", grant.Server.Place, "Reason", d.Reason, "Waited", time.Since(s.received).Milliseconds(),
+		"Version", grant.Server.Version, "LastEvent", s.stream.lastEventID, "Resumes", s.call.Resumes, "ServerPlace", grant.Server.Place, "Reason", d.Reason, "Waited", time.Since(s.received).Milliseconds(),
 		"Score", d.Score, "Wait", t.Wait, "Prefill", t.Prefill, "CachedTokens", d.CachedTokens, "PromptTokens", s.call.PromptTokens)
 }
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -29,6 +29,9 @@
 	// LastEventID is the id of the last event that the caller received of an earlier
 	// stream; empty means none.
 	LastEventID string
+	// Resumes is the ID of the request that brought the first event of that stream; empty means not
+	// stated.
+	Resumes string
 }
 
 // Tokens returns the size of the request in tokens; 0 means not stated.
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -273,7 +273,7 @@
 	m := change.Member
 	c.changed = true
 	if change.Event != fleet.Changed {
-		c.g.Log.Info("server "+change.Event, "Server", m.ID, "Incarnation", m.Incarnation, "Service", m.Service,
+		c.g.Log.Info("server "+change.Event, "Server", m.ID, "Incarnation", m.Incarnation, "Service", m.Service, "Version", m.Version,
 			"ServerPlace", m.Place, "Address", m.Address, "Slots", m.Slots, "Reclaimable", m.Reclaimable,
 			"Remaining", m.Remaining, "Warmup", m.Warmup)
 	}
@@ -407,7 +407,7 @@
 // routingServer converts a member to the form that routing uses.
 func (c *control) routingServer(now time.Time, m fleet.Member) routing.Server {
 	s := routing.Server{
-		ID: m.ID, Incarnation: m.Incarnation, Address: m.Address, Service: m.Service, Place: m.Place,
+		ID: m.ID, Incarnation: m.Incarnation, Address: m.Address, Service: m.Service, Version: m.Version, Place: m.Place,
 		Region: c.g.Regions[m.Place], Slots: m.Slots, Accepting: m.Accepting(),
 	}
 	if q := c.suspects[m.ID]; q != nil && now.Before(q.until) {
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -203,7 +203,7 @@
 type protocol struct{}
 
 func (protocol) Decode(h http.Header) (Call, error) {
-	c := Call{ID: h.Get("X-Id"), Key: h.Get("X-Key"), LastEventID: h.Get("Last-Event-Id")}
+	c := Call{ID: h.Get("X-Id"), Key: h.Get("X-Key"), LastEventID: h.Get("Last-Event-Id"), Resumes: h.Get("X-Resumes")}
 	if c.ID == "" {
 		return c, fmt.Errorf("header X-Id is missing")
 	}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -13,9 +13,11 @@
 	Incarnation int64
 	Address     string
 	Service     string
-	Place       string
-	Region      string
-	Class       string
+	// Version is that of the server's software.
+	Version string
+	Place   string
+	Region  string
+	Class   string
 	// Slots is the number of requests that the server runs at a time.
 	Slots int
 	// TokensPerSecond is the rate of generation with all slots in use.
