--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -290,7 +290,7 @@
 
 // backendServer is a backend server with a handler for each test.
 type backendServer struct {
-	id string
+	id, version string
 	*httptest.Server
 	mu       sync.Mutex
 	received []*http.Request
@@ -304,7 +304,12 @@
 
 // addServer starts a backend server and registers it for a service.
 func (env *testEnv) addServer(id, service string, answer http.HandlerFunc) *backendServer {
-	b := &backendServer{id: id}
+	return env.addVersion(id, service, "", answer)
+}
+
+// addVersion starts a backend server of a software version and registers it for a service.
+func (env *testEnv) addVersion(id, service, version string, answer http.HandlerFunc) *backendServer {
+	b := &backendServer{id: id, version: version}
 	b.Server = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		b.mu.Lock()
 		b.received = append(b.received, r.Clone(context.Background()))
@@ -319,7 +324,7 @@
 
 func (env *testEnv) register(b *backendServer, service string, leaving bool) {
 	env.store.set("servers/"+b.id, fleet.Server{
-		ID: b.id, Incarnation: 1, Address: strings.TrimPrefix(b.URL, "http://"), Service: service, Place: "a", Slots: 8, Leaving: leaving,
+		ID: b.id, Incarnation: 1, Address: strings.TrimPrefix(b.URL, "http://"), Service: service, Version: b.version, Place: "a", Slots: 8, Leaving: leaving,
 	})
 }
 
--- /dev/null
+++ b/internal/gateway/versions_test.go
@@ -0,0 +1,145 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// breakingStream returns a handler that breaks new streams off after two of eight events, and
+// finishes those that are continued.
+func breakingStream() http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Last-Event-Id") == "" {
+			writeStream(w, r, 2)
+			closeConnection(w)
+			return
+		}
+		writeStream(w, r, 8)
+	}
+}
+
+// continued returns how many requests of continued streams the server has received.
+func (b *backendServer) continued() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for _, r := range b.received {
+		if r.Header.Get("Last-Event-Id") != "" {
+			n++
+		}
+	}
+	return n
+}
+
+// TestStreamIsNotContinuedAtAnotherVersion guards against joining the events of servers of two
+// software versions in one answer.
+func TestStreamIsNotContinuedAtAnotherVersion(t *testing.T) {
+	for _, c := range []struct {
+		versions []string // Of the servers.
+		whole    bool
+	}{
+		{[]string{"v1", "v1"}, true},
+		{[]string{"v1", "v2"}, false},
+		{[]string{"v1", "v1", "v2", "v2"}, true},
+	} {
+		t.Run(fmt.Sprint(c.versions), func(t *testing.T) {
+			t.Parallel()
+			env := newTestEnv(t)
+			began := map[string]string{} // Versions by server.
+			var servers []*backendServer
+			for i, v := range c.versions {
+				id := fmt.Sprint("s", i)
+				began[id] = v
+				servers = append(servers, env.addVersion(id, "model", v, breakingStream()))
+			}
+			gw := env.startReady("g1")
+			for range 20 {
+				before := map[string]int{}
+				for _, s := range servers {
+					before[s.id] = s.requests()
+				}
+				started := time.Now()
+				got := gw.send(t.Context(), http.MethodPost, "/stream/")
+				seen := map[string]bool{}
+				for _, s := range servers {
+					if s.requests() > before[s.id] {
+						seen[s.version] = true
+					}
+				}
+				want := events(1, 2)
+				if c.whole {
+					want = events(1, 8)
+				}
+				if len(seen) != 1 || got.body != want || (got.err == nil) != c.whole {
+					t.Fatalf("versions %v served %q, error %v, want whole: %v", seen, got.body, got.err, c.whole)
+				}
+				if took := time.Since(started); took > time.Second {
+					t.Errorf("broken off after %v", took)
+				}
+			}
+		})
+	}
+}
+
+// takeUp sends the request of a caller that takes up a stream after its second event.
+func (gw *testGateway) takeUp(t *testing.T, began string) reply {
+	return gw.send(t.Context(), http.MethodPost, "/stream/", "Last-Event-Id", "2", "X-Resumes", began)
+}
+
+// begin sends a request with an id for a stream that is broken off after two events.
+func (gw *testGateway) begin(t *testing.T, id string) {
+	t.Helper()
+	if got := gw.send(t.Context(), http.MethodPost, "/once/", "X-Id", id); got.body != events(1, 2) || got.err == nil {
+		t.Fatalf("got %+v, want two events and a broken connection", got)
+	}
+}
+
+// TestStreamIsNotTakenUpAtAnotherVersion guards against joining the events of servers of two
+// software versions over the requests of a caller that takes up a stream, at any daemon.
+func TestStreamIsNotTakenUpAtAnotherVersion(t *testing.T) {
+	for _, meshMax := range []int{0, 1} {
+		t.Run(fmt.Sprint("mesh of ", meshMax), func(t *testing.T) {
+			t.Parallel()
+			env := newTestEnv(t)
+			older := []*backendServer{env.addVersion("s1", "model", "v1", breakingStream()), env.addVersion("s2", "model", "v1", breakingStream())}
+			first, second := env.startIn("g1", "a", meshMax), env.startIn("g2", "a", meshMax)
+			for _, gw := range []*testGateway{first, second} {
+				waitFor(t, gw.Daemon+" is ready", gw.Ready)
+				waitFor(t, gw.Daemon+" is linked", func() bool { return len(gw.hub.Peers()) == 1 })
+			}
+			const streams = 12
+			for i := range streams {
+				first.begin(t, fmt.Sprint("began", i))
+			}
+			newer := []*backendServer{env.addVersion("s3", "model", "v2", breakingStream()), env.addVersion("s4", "model", "v2", breakingStream())}
+			for _, gw := range []*testGateway{first, second} {
+				waitFor(t, gw.Daemon+" knows the new version", func() bool { return gw.accepting("s3") && gw.accepting("s4") })
+			}
+			for i := range streams {
+				gw := []*testGateway{first, second}[i%2]
+				if got := gw.takeUp(t, fmt.Sprint("began", i)); got.status != http.StatusOK || got.body != events(3, 8) {
+					t.Errorf("stream %d at %s: got %+v", i, gw.Daemon, got)
+				}
+			}
+			if n := newer[0].continued() + newer[1].continued(); n > 0 {
+				t.Errorf("%d streams of v1 went on at v2", n)
+			}
+			for _, s := range older {
+				env.store.remove("servers/" + s.id)
+			}
+			for _, gw := range []*testGateway{first, second} {
+				waitFor(t, gw.Daemon+" knows that v1 has left", func() bool { return !gw.accepting("s1") && !gw.accepting("s2") })
+				started := time.Now()
+				got := gw.takeUp(t, "began0")
+				if took := time.Since(started); got.status != http.StatusServiceUnavailable || took > 500*time.Millisecond {
+					t.Errorf("without its version the stream was answered after %v: %+v", took, got)
+				}
+			}
+			if n := newer[0].continued() + newer[1].continued(); n > 0 {
+				t.Errorf("%d streams of v1 went on at v2 when v1 had left", n)
+			}
+		})
+	}
+}
