gateway: continue a stream only at servers of its version

Callers received streams whose first events came from a server of one software version and the rest from another one, in a single answer: a broken stream went on at any server of its service. A call can now require a software version of its server, and a stream requires the one of its first event. If no server of it takes requests, the stream is broken off at once instead of waiting.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -139,11 +139,11 @@
 		return p
 	}
 	decision := d.Queue.Offer(now, w.Request)
-	if decision.Queued && !w.Durable && !w.Request.Accepted && !d.hasServer(w.Request.Service) {
+	if decision.Queued && !w.Durable && !w.Request.Accepted && !d.hasServer(&w.Call) {
 		// The offer is counted as demand, for which placement starts servers.
 		d.Queue.Cancel(now, w.Request.ID)
 		d.counts.Refused++
-		return d.noServerProblem(w.Request.Service)
+		return d.noServerProblem(&w.Call)
 	}
 	if p := d.excessProblem(now, w); p != nil && decision.Queued {
 		d.Queue.Cancel(now, w.Request.ID)
@@ -162,8 +162,11 @@
 	return nil
 }
 
-func (d *Dispatcher) noServerProblem(service string) *problem.Problem {
-	p := problem.New(problem.NoCapacity, "service %q has no backend server that takes work", service)
+func (d *Dispatcher) noServerProblem(call *routing.Call) *problem.Problem {
+	p := problem.New(problem.NoCapacity, "service %q has no backend server that takes work", call.Service)
+	if call.Version != nil {
+		p = problem.New(problem.NoCapacity, "service %q has no backend server of version %q that takes work", call.Service, *call.Version)
+	}
 	p.RetryAfter = noServerRetryAfter + time.Duration(d.Rand.Int64N(int64(noServerRetryAfter)))
 	return p
 }
@@ -175,6 +178,15 @@
 	d.Router.FirstToken(now, id)
 }
 
+// RequireVersion limits the further attempts of a request to servers of a software version.
+func (d *Dispatcher) RequireVersion(id, version string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if w := d.works[id]; w != nil {
+		w.Call.Version = &version
+	}
+}
+
 // Progress records how many tokens a running request has generated.
 func (d *Dispatcher) Progress(id string, generated int) {
 	d.mu.Lock()
@@ -281,6 +293,10 @@
 		d.endWork(now, w, used)
 		return w.refusalProblem(p)
 	}
+	if w.Call.Version != nil && !d.hasServer(&w.Call) {
+		d.endWork(now, w, used)
+		return w.refusalProblem(d.noServerProblem(&w.Call))
+	}
 	// A retry puts no load on a server that was not reached, so it costs no budget.
 	if ending != Stopped && ending != NotSent && !w.Durable && !d.retryBudgets.of(w.Request.Service).TrySpend() {
 		d.endWork(now, w, used)
@@ -419,10 +435,10 @@
 	for _, w := range d.parked {
 		switch {
 		case d.tryGrant(now, w):
-		case !w.Durable && now.Sub(w.parkedAt) > w.parkLimit():
+		case !w.Durable && (now.Sub(w.parkedAt) > w.parkLimit() || w.Call.Version != nil && !d.hasServer(&w.Call)):
 			d.Queue.Done(now, admission.Usage{ID: w.Request.ID, Failed: true})
 			delete(d.works, w.Request.ID)
-			w.grants <- Grant{Problem: w.refusalProblem(d.noServerProblem(w.Request.Service))}
+			w.grants <- Grant{Problem: w.refusalProblem(d.noServerProblem(&w.Call))}
 		default:
 			kept = append(kept, w)
 		}
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -17,8 +17,8 @@
 	d.Quarantine.Configure(limits)
 }
 
-func (d *Dispatcher) hasServer(service string) bool {
-	return d.Router.CountAccepting(d.table, service) > 0
+func (d *Dispatcher) hasServer(call *routing.Call) bool {
+	return d.Router.CountAccepting(d.table, call) > 0
 }
 
 // Report records a server's load as of the given time.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -42,6 +42,8 @@
 	lastEventID string
 	// maxStep is the largest difference between the ids of two consecutive events.
 	maxStep int
+	// version is the software version of the server whose events arrive.
+	version string
 	// eventCount is the number of events written to the caller.
 	eventCount int
 	// firstEventAt is when the running attempt delivered its first event, and survived
@@ -64,7 +66,7 @@
 		cancel(nil)
 		<-watchEnded
 	}()
-	s.stream.firstEventAt, s.stream.survived = time.Time{}, false
+	s.stream.firstEventAt, s.stream.survived, s.stream.version = time.Time{}, false, server.Version
 	res.SetReadDeadline(s.deadline)
 	var pending []byte
 	buffer := make([]byte, relayBufferSize)
@@ -193,6 +195,8 @@
 	now := time.Now()
 	s.noteSurvival(now)
 	if s.stream.eventCount == 0 {
+		// What servers of two versions write does not fit together.
+		s.g.dispatcher.RequireVersion(s.call.ID, s.stream.version)
 		s.g.dispatcher.FirstToken(now, s.call.ID)
 		s.g.requestMetrics.recordFirstEvent(now.Sub(s.received))
 		s.countUsage()
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -29,6 +29,8 @@
 	ExpectedTokens int
 	// Excluded lists servers that this request already tried.
 	Excluded []string
+	// Version, if not nil, is the software version that the server must have.
+	Version *string
 	// Alone requires a server without other requests, for a suspected request in quarantine.
 	Alone bool
 	// Plain marks a call to a service without prompts.
@@ -43,6 +45,9 @@
 	Tokens int
 }
 
+// accepts reports whether a server has the version that the call requires.
+func (c *Call) accepts(s *Server) bool { return c.Version == nil || *c.Version == s.Version }
+
 func (c *Call) promptTokens() float64 {
 	if c.PromptTokens > 0 {
 		return float64(c.PromptTokens)
@@ -76,6 +81,8 @@
 	NotAccepting int
 	Suspect      int
 	Excluded     int
+	// OtherVersion counts servers that don't have the required version.
+	OtherVersion int
 	Unhealthy    int
 	// Paused counts servers that asked for a pause.
 	Paused int
@@ -121,8 +128,8 @@
 // String formats the decision for a log line.
 func (d Decision) String() string {
 	if d.Server == "" {
-		return fmt.Sprintf("no server: %s (not accepting %d, suspect %d, already tried %d, unhealthy %d, reserved %d, busy %d)",
-			d.Reason, d.Rejected.NotAccepting, d.Rejected.Suspect, d.Rejected.Excluded,
+		return fmt.Sprintf("no server: %s (not accepting %d, of another version %d, suspect %d, already tried %d, unhealthy %d, reserved %d, busy %d)",
+			d.Reason, d.Rejected.NotAccepting, d.Rejected.OtherVersion, d.Rejected.Suspect, d.Rejected.Excluded,
 			d.Rejected.Unhealthy, d.Rejected.Reserved, d.Rejected.Busy)
 	}
 	return fmt.Sprintf("%s: %s, score %.4f (wait %.4f, prefill %.4f, latency %.4f, price %.4f, link %.4f, health %.4f), %d considered",
--- a/internal/routing/capacity.go
+++ b/internal/routing/capacity.go
@@ -15,11 +15,11 @@
 	return names
 }
 
-// CountAccepting returns how many servers of a service accept new work.
-func (r *Router) CountAccepting(t *Table, service string) int {
+// CountAccepting returns how many servers that a call may use accept new work.
+func (r *Router) CountAccepting(t *Table, call *Call) int {
 	n := 0
-	for _, i := range t.services[service] {
-		if t.servers[i].Accepting {
+	for _, i := range t.services[call.Service] {
+		if s := &t.servers[i]; s.Accepting && call.accepts(s) {
 			n++
 		}
 	}
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -56,6 +56,8 @@
 	switch {
 	case !s.Accepting:
 		rejected.NotAccepting++
+	case !sc.call.accepts(s):
+		rejected.OtherVersion++
 	case s.Suspect:
 		rejected.Suspect++
 	case sc.now.Before(st.pausedUntil):
