gateway: ask again before a request is sent on a new connection

Requests reached a server that had left: a server is chosen before the connection to it is opened, which takes a second and more when the server's queue of connections is full, or the daemon has little processor time.

Once the connection is open, the dispatcher is asked whether the server still takes requests. If not, the request goes to another server, without cost to the retry budget, because the first one never received it. The same holds for a server that has asked for a pause in between.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -76,6 +76,9 @@
 	// copy of the response to it would be indistinguishable, so that the request gets a new
 	// connection.
 	Resent bool
+	// Allowed, if not nil, is asked once a connection is open, which may take a second or more. If it
+	// returns false, the request is not sent.
+	Allowed func() bool
 }
 
 // Response is the response to a request. It must be closed.
@@ -185,6 +188,10 @@
 		p.addIdle(c)
 		return nil, errors.Annotatef(ErrNotSent, "%v", context.Cause(ctx))
 	}
+	if q.Allowed != nil && !q.Allowed() {
+		p.addIdle(c)
+		return nil, errors.Annotate(ErrNotSent, "no longer allowed")
+	}
 	r := &Response{conn: c, pool: p, connReused: c.used}
 	c.used = true
 	r.stopWatching = context.AfterFunc(ctx, func() { _ = c.Close() }) // Unblocks a pending read.
--- a/internal/dispatch/pause.go
+++ b/internal/dispatch/pause.go
@@ -23,6 +23,13 @@
 	d.refuseExcess(now, server.Service)
 }
 
+// Takes reports whether an incarnation of a server may still get a request that was granted to it.
+func (d *Dispatcher) Takes(now time.Time, server routing.Server) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.Router.Takes(now, d.table, server)
+}
+
 // refuseExcess refuses the waiting requests of services that their servers do not take in time.
 func (d *Dispatcher) refuseExcess(now time.Time, services ...string) {
 	for _, service := range services {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -238,10 +238,20 @@
 	s.logRouting(grant)
 	g.demand.addSentPrompt(s.service, &s.call, grant.Decision.CachedTokens)
 	req := s.backendRequest(server, remaining)
+	refused := false
+	req.Allowed = func() bool {
+		refused = !g.dispatcher.Takes(time.Now(), server)
+		return !refused
+	}
 	s.sentTo = append(s.sentTo, server.Address)
 	g.recordSentPrompt(server.ID, &s.call)
 	res, err := g.Backends.Do(ctx, now, server.Address, req)
-	if err != nil {
+	switch {
+	case refused:
+		// The server left, or asked for a pause, while the connection was opened.
+		s.logAttempt(server, dispatch.NotSent, err)
+		return attemptResult{ending: dispatch.NotSent, err: err}
+	case err != nil:
 		return s.handleNoAnswer(ctx, server, err)
 	}
 	defer res.Close()
--- a/internal/routing/intake.go
+++ b/internal/routing/intake.go
@@ -75,6 +75,16 @@
 	}
 }
 
+// Takes reports whether an incarnation of a server accepts work and has not asked for a pause.
+func (r *Router) Takes(now time.Time, t *Table, server Server) bool {
+	i, ok := t.byID[server.ID]
+	if !ok || t.servers[i].Incarnation != server.Incarnation || !t.servers[i].Accepting {
+		return false
+	}
+	st := r.states[server.ID]
+	return st == nil || !now.Before(st.pausedUntil)
+}
+
 // LimitedServices returns the services with a server that takes a limited rate of calls.
 func (t *Table) LimitedServices() []string { return t.limitedServices }
 
