gateway: a stream that its caller takes up goes on at its version only

Callers whose streams had broken off took them up again, and many of these were answered 200 and ran to their end, with the first part from a server of one software version and the rest from another. The daemon read only the last event from such a request: it knew neither who began the stream nor at which version.

Daemons now remember at which version each stream began, by the id of the request that brought its first event (package origin), and pass it on: to the peers of their place with each status, between places through the delegates, and all of it to a daemon that starts. A request that takes a stream up names that id; it goes to servers of that version, or is refused at once with a time to come back if none takes requests. A stream that no daemon knows goes on if its service has had one version for as long as a stream may be taken up, else it is refused too.

Each record is a few bytes of a status that is sent anyway.

--- /dev/null
+++ b/internal/gateway/begun.go
@@ -0,0 +1,206 @@
+package gateway
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"apricotbridge/internal/message"
+	"apricotbridge/internal/origin"
+	"apricotbridge/internal/route"
+	"apricotbridge/pkg/problem"
+)
+
+const (
+	// minStreamMemory is the least time for which the versions of streams are remembered. Streams last up to 15 s
+	// (platform specification), and a caller may take one up until its own time has passed.
+	minStreamMemory = 30 * time.Second
+	// maxBegunStreams bounds the streams that are remembered; a place of the largest deployment begins
+	// about 600 a second.
+	maxBegunStreams = 1 << 17
+)
+
+// begunStreams is what this daemon knows of the versions at which streams began.
+type begunStreams struct {
+	mu       sync.Mutex
+	streams  origin.Set
+	versions origin.Versions
+	// near and far hold the streams of which peers in this place and in other places have not been
+	// told. Where all daemons are linked, far is not used.
+	near, far []origin.Stream
+	// startedAt is when this daemon started, and toldAt when a peer sent all that it knew; zero means
+	// not yet.
+	startedAt, toldAt time.Time
+}
+
+func newBegunStreams(now time.Time) *begunStreams {
+	b := &begunStreams{startedAt: now}
+	b.streams.MostStreams = maxBegunStreams
+	b.setMemory(minStreamMemory)
+	return b
+}
+
+func (b *begunStreams) setMemory(memory time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.streams.Memory, b.versions.Memory = memory, memory
+}
+
+// streamMemory is how long the version of a stream may be asked for: the stream itself and the caller
+// that takes it up have up to the longest time of a route.
+func streamMemory(routes []route.Route) time.Duration {
+	longest := time.Duration(0)
+	for i := range routes {
+		if routes[i].Stream {
+			longest = max(longest, routes[i].Timeout)
+		}
+	}
+	return max(2*longest, minStreamMemory)
+}
+
+// noteServers records the versions of the present servers.
+func (b *begunStreams) noteServers(now time.Time, c *control) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, m := range c.fleet.Members() {
+		b.versions.Note(now, m.Service, m.Version)
+	}
+}
+
+// note records that a stream began here, for peers too. forward means that this daemon is the delegate of
+// its place.
+func (b *begunStreams) note(now time.Time, stream origin.Stream, version string, forward bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.streams.Note(now, stream, version) {
+		return
+	}
+	b.near = append(b.near, stream)
+	if forward {
+		b.far = append(b.far, stream)
+	}
+}
+
+// merge records the streams of a peer. What is new is forwarded, by the delegate of a place, from its place to
+// the others and the other way round.
+func (b *begunStreams) merge(now time.Time, groups []message.BegunStreams, fromOwnPlace, forward bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, g := range groups {
+		for _, id := range g.Streams {
+			stream := origin.Stream(id)
+			switch isNew := b.streams.Note(now, stream, g.Version); {
+			case !isNew || !forward:
+			case fromOwnPlace:
+				b.far = append(b.far, stream)
+			default:
+				b.near = append(b.near, stream)
+			}
+		}
+	}
+}
+
+// take returns the streams for a status, once.
+func (b *begunStreams) take(now time.Time, scope statusScope) []message.BegunStreams {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	news := &b.near
+	if scope == farPeers {
+		news = &b.far
+	}
+	byVersion := map[string][]origin.Stream{}
+	for _, stream := range *news {
+		if version, ok := b.streams.Version(now, stream); ok {
+			byVersion[version] = append(byVersion[version], stream)
+		}
+	}
+	*news = nil
+	return encodeBegun(byVersion)
+}
+
+// all returns the streams that this daemon knows, if those are all: it started long ago, or was told by
+// a peer.
+func (b *begunStreams) all(now time.Time) ([]message.BegunStreams, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.complete(now) {
+		return nil, false
+	}
+	return encodeBegun(b.streams.ByVersion(now)), true
+}
+
+// isComplete reports whether this daemon need not be told of the streams of its peers.
+func (b *begunStreams) isComplete(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.complete(now)
+}
+
+func (b *begunStreams) complete(now time.Time) bool {
+	return !b.toldAt.IsZero() || now.Sub(b.startedAt) >= b.streams.Memory
+}
+
+// told merges all streams of a peer.
+func (b *begunStreams) told(now time.Time, groups []message.BegunStreams) {
+	b.merge(now, groups, false, false)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.toldAt = now
+}
+
+// versionOf returns the version at which a stream of a service began. A stream that is not known began at the
+// only version of the service, if there has been no other for as long as a stream may be taken up.
+func (b *begunStreams) versionOf(now time.Time, stream origin.Stream, service string) (string, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if version, ok := b.streams.Version(now, stream); ok {
+		return version, true
+	}
+	if versions := b.versions.Of(now, service); len(versions) == 1 {
+		return versions[0], true
+	}
+	return "", false
+}
+
+func encodeBegun(byVersion map[string][]origin.Stream) []message.BegunStreams {
+	var groups []message.BegunStreams
+	for _, version := range slices.Sorted(maps.Keys(byVersion)) {
+		g := message.BegunStreams{Version: version}
+		for _, stream := range byVersion[version] {
+			g.Streams = append(g.Streams, uint64(stream))
+		}
+		groups = append(groups, g)
+	}
+	return groups
+}
+
+// forwardsBegun reports whether this daemon forwards between its place and others.
+func (g *Gateway) forwardsBegun() bool {
+	v := g.view.Load()
+	return v.byPlace() && v.Delegate
+}
+
+// requireVersion sets the version that the servers of a stream must have that the caller takes up. If it
+// is not known, the request is refused: servers of another version would write what does not fit.
+func (s *session) requireVersion() *problem.Problem {
+	s.began = s.call.ID
+	if !s.route.Stream || s.call.LastEventID == "" && s.call.Resumes == "" {
+		return nil
+	}
+	if s.call.Resumes != "" {
+		s.began = s.call.Resumes
+	}
+	version, ok := s.g.begun.versionOf(s.received, origin.StreamOf(s.began), s.service)
+	if !ok {
+		p := problem.New(problem.NoCapacity, "version at which stream %q began is not known", s.began)
+		p.RetryAfter = jitter(unknownVersionRetryAfter)
+		return p
+	}
+	s.version = &version
+	return nil
+}
+
+// unknownVersionRetryAfter is the Retry-After of a stream whose version is not known here. Another daemon may
+// know it, or this one may be told of it.
+const unknownVersionRetryAfter = 500 * time.Millisecond
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -135,6 +135,8 @@
 	// repeats counts how often they were.
 	repeatedFrom storeMoment
 	repeats      int
+	// begunSent is when the peer was last sent the versions of all streams.
+	begunSent time.Time
 	// refusedSent is when the peer was last sent what this daemon refuses.
 	refusedSent time.Time
 }
@@ -187,6 +189,7 @@
 	c.g.Log.Info("configuration adopted", "Version", next.Version, "Source", source, "Routes", len(next.Routes),
 		"Services", len(next.Services), "Organisations", len(next.Organisations))
 	c.index, c.adoptedAt = newIndex(next), now
+	c.g.begun.setMemory(streamMemory(next.Routes))
 	c.changed = true
 	var ranks []admission.Rank
 	for r := range rankCount {
@@ -357,6 +360,7 @@
 	for _, change := range c.fleet.Expire(now) {
 		c.serverChanged(change)
 	}
+	c.g.begun.noteServers(now, c)
 	if c.rates.Expire(now) {
 		c.changed = true
 	}
@@ -400,6 +404,7 @@
 	}
 	v.table = routing.NewTable(servers, c.regionLinks())
 	v.ByPlace, v.Delegate, v.Delegates = c.topology.ByPlace, c.topology.Delegate, c.topology.Delegates
+	c.g.begun.noteServers(now, c)
 	c.g.view.Store(v)
 	c.g.dispatcher.SetTable(now, v.table)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -148,6 +148,7 @@
 	sentPrompts   []message.SentPrompt
 
 	demand *demandTracker
+	begun  *begunStreams
 
 	// evidenceNews holds the suspects of which this daemon, as a delegate, has news to forward:
 	// from its own place (true) to other places, and from those to its own.
@@ -198,6 +199,7 @@
 	g.quotas.Slack = g.Bounds.QuotaSlack
 	g.counts, g.clock = accounting.NewUsageCounter(), accounting.NewClock()
 	g.demand = newDemandTracker()
+	g.begun = newBegunStreams(time.Now())
 	g.recordedSuspects = map[uint64]int64{}
 	g.evidenceNews = map[bool]map[quarantine.Fingerprint]bool{true: {}, false: {}}
 	g.rows, g.placeLoads = map[string]daemonRow{}, map[string]placeLoads{}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -14,6 +14,7 @@
 	"apricotbridge/internal/backend"
 	"apricotbridge/internal/dispatch"
 	"apricotbridge/internal/logs"
+	"apricotbridge/internal/origin"
 	"apricotbridge/internal/route"
 	"apricotbridge/internal/routing"
 )
@@ -197,6 +198,7 @@
 	if s.stream.eventCount == 0 {
 		// What servers of two versions write does not fit together.
 		s.g.dispatcher.RequireVersion(s.call.ID, s.stream.version)
+		s.g.begun.note(now, origin.StreamOf(s.began), s.stream.version, s.g.forwardsBegun())
 		s.g.dispatcher.FirstToken(now, s.call.ID)
 		s.g.requestMetrics.recordFirstEvent(now.Sub(s.received))
 		s.countUsage()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -122,7 +122,11 @@
 	attemptsSent, attemptsMayHaveRun int
 	// sentTo holds the addresses of the servers to which the request was sent.
 	sentTo []string
-	stream streamState
+	// began is the id of the request that brought the first event of the stream, and version what the
+	// servers of a stream must have that the caller takes up; nil means any.
+	began   string
+	version *string
+	stream  streamState
 }
 
 // serve handles one request.
@@ -167,6 +171,9 @@
 	if !s.g.accepting(s.received, s.deadline, s.route.Stream) {
 		return problem.New(problem.Draining, "daemon is leaving")
 	}
+	if p := s.requireVersion(); p != nil {
+		return p
+	}
 	return s.chargeQuota()
 }
 
@@ -295,6 +302,7 @@
 		Call: routing.Call{
 			RequestID: s.call.ID, Service: s.service, Rank: rank, Place: s.g.Place, Region: s.g.Region,
 			Parts: s.call.Parts, PromptTokens: s.call.PromptTokens, ExpectedTokens: s.call.expectedOutputTokens(), Plain: !s.engine,
+			Version: s.version,
 		},
 		Fingerprint: quarantine.FingerprintOf(s.organisation(), s.service, append([]byte(s.r.RequestURI+"\n"), s.body...)),
 	}
--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -438,7 +438,10 @@
 	if len(to) == 0 {
 		return
 	}
-	data, err := message.Encode(message.KindStatus, g.status(time.Now(), scope))
+	now := time.Now()
+	s := g.status(now, scope)
+	s.Begun = g.begun.take(now, scope)
+	data, err := message.Encode(message.KindStatus, s)
 	if err != nil {
 		g.Log.Error(err, "status not sent")
 		return
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -33,6 +33,7 @@
 	if c := v.Configuration(); c != nil {
 		s.Revision = c.Version
 	}
+	s.BegunKnown = g.begun.isComplete(now)
 	s.Refused = g.dispatcher.RefusedHash(now)
 	if scope == farPeers {
 		return s
@@ -87,6 +88,13 @@
 			return
 		}
 		g.post(func(c *control) { c.noteRates(from, decodeRates(now, m)) })
+	case message.KindBegun:
+		m, err := message.Decode[message.Begun](e)
+		if err != nil {
+			g.Log.Info("begun streams not readable", "Peer", from.Daemon, "Error", err.Error())
+			return
+		}
+		g.begun.told(now, m.Streams)
 	case message.KindListing:
 		m, err := message.Decode[message.Listing](e)
 		if err != nil {
@@ -122,6 +130,7 @@
 		g.dispatcher.RecordPeerPrompt(p.Server, parts, p.Expected)
 	}
 	g.mergeEvidence(now, from.Place, s.Evidence)
+	g.begun.merge(now, s.Begun, from.Place == g.Place, g.forwardsBegun())
 	if s.Loads != nil {
 		g.dispatcher.SetPeerLoads(now, from.Daemon, decodeLoads(s.Loads))
 	}
--- a/internal/gateway/supply.go
+++ b/internal/gateway/supply.go
@@ -46,6 +46,7 @@
 	lacksConfiguration := c.index != nil && s.Revision < c.index.Version &&
 		(s.Revision == 0 || c.mayResendConfiguration(now, p))
 	lacksServers := c.serversListed && !s.ServersListed
+	c.supplyBegun(now, p, s)
 	if c.serversListed && s.ServersListed && p.missesListing(now, c.asOf, storeMoment{s.ServersEra, s.ServersRevision}) {
 		c.repeatListings(now, p, storeMoment{s.ServersEra, s.ServersRevision})
 	}
@@ -61,6 +62,17 @@
 	}
 }
 
+// supplyBegun sends a peer that has started the versions of the streams that began before.
+func (c *control) supplyBegun(now time.Time, p *peerState, s message.Status) {
+	if s.BegunKnown || now.Sub(p.begunSent) < supplyInterval || !c.isSupplierOf(now, p) {
+		return
+	}
+	if streams, ok := c.g.begun.all(now); ok {
+		p.begunSent = now
+		sendToLinked(c.g, message.KindBegun, message.Begun{Streams: streams}, func(q message.Hello) bool { return q.Daemon == p.hello.Daemon })
+	}
+}
+
 // sendCompleteListing sends a peer all entries of servers.
 func (c *control) sendCompleteListing(p *peerState) {
 	m := c.latestListing()
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -19,7 +19,7 @@
 
 // Body is the set of message types that an Envelope can carry.
 type Body interface {
-	Hello | Digest | Configuration | Fetch | Members | Usage | Quarantine | Forward | ForwardAnswer | Cancel | Handover | HandoverAccepted | Status | Listing | Rows | Evidence | Leaving | Left | Rates
+	Hello | Digest | Configuration | Fetch | Members | Usage | Quarantine | Forward | ForwardAnswer | Cancel | Handover | HandoverAccepted | Status | Listing | Rows | Evidence | Leaving | Left | Rates | Begun
 }
 
 var decoder = mustDecoder()
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -5,6 +5,22 @@
 import "github.com/fxamacker/cbor/v2"
 import "time"
 
+// Begun lists all streams of which the sender knows the version, for a peer that
+// has started.
+type Begun struct {
+	// Streams by version.
+	Streams []BegunStreams `json:"Streams"`
+}
+
+// BegunStreams lists streams that servers of one software version began.
+type BegunStreams struct {
+	// Hashes of the ids of the requests that brought the first events.
+	Streams []uint64 `json:"Streams"`
+
+	// Version of the servers' software.
+	Version string `json:"Version"`
+}
+
 // Cancel aborts a call of the sender.
 type Cancel struct {
 	// Number of the call.
@@ -290,6 +306,7 @@
 
 type Kind string
 
+const KindBegun Kind = "Begun"
 const KindCancel Kind = "Cancel"
 const KindConfiguration Kind = "Configuration"
 const KindDigest Kind = "Digest"
@@ -505,6 +522,12 @@
 // Sums count from the start of the sender, so that the next message makes up for a
 // lost one.
 type Status struct {
+	// Streams that began since the last status.
+	Begun []BegunStreams `json:"Begun,omitempty,omitzero"`
+
+	// Whether the sender knows the streams that began at its peers before it started.
+	BegunKnown bool `json:"BegunKnown,omitempty,omitzero"`
+
 	// Time of day of the sender in Unix milliseconds.
 	Clock int64 `json:"Clock"`
 
