gateway: remember the versions of services beyond the loss of all daemons

After all daemons had been killed and come back, none remembered at which version a stream had begun, and each took the present version of a service for its only one: a stream of a version that had just left was joined with another one.

The versions that a service has, or had until lately, stand in the store, one small record a service that the first daemon writes when they change. A daemon that starts reads the records; until then a stream that it does not know is refused. If a service had several versions, such a stream is refused as well, since nobody knows which of them began it.

TestStreamIsNotTakenUpAtAnotherVersionAfterLossOfAll failed before where the version had just left: both daemons sent the stream on to the other version. The case of a service with one version, whose streams go on after the loss, guards against refusing all.

--- a/internal/gateway/begun.go
+++ b/internal/gateway/begun.go
@@ -32,6 +32,8 @@
 	// startedAt is when this daemon started, and toldAt when a peer sent all that it knew; zero means
 	// not yet.
 	startedAt, toldAt time.Time
+	// recordsRead means that versions has those that the services had before this daemon started.
+	recordsRead bool
 }
 
 func newBegunStreams(now time.Time) *begunStreams {
@@ -68,6 +70,36 @@
 	}
 }
 
+// noteVersions records versions that a service had.
+func (b *begunStreams) noteVersions(now time.Time, service string, versions []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, v := range versions {
+		b.versions.Note(now, service, v)
+	}
+}
+
+// noteRecordsRead records that the records of versions in the store were read.
+func (b *begunStreams) noteRecordsRead() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.recordsRead = true
+}
+
+// versionsOfServices returns the versions of each service, sorted.
+func (b *begunStreams) versionsOfServices(now time.Time) map[string][]string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	services := map[string][]string{}
+	for _, service := range b.versions.Services() {
+		if list := b.versions.Of(now, service); len(list) > 0 {
+			slices.Sort(list)
+			services[service] = list
+		}
+	}
+	return services
+}
+
 // note records that a stream began here, for peers too. forward means that this daemon is the delegate of
 // its place.
 func (b *begunStreams) note(now time.Time, stream origin.Stream, version string, forward bool) {
@@ -157,7 +189,8 @@
 	if version, ok := b.streams.Version(now, stream); ok {
 		return version, true
 	}
-	if versions := b.versions.Of(now, service); len(versions) == 1 {
+	known := b.recordsRead || now.Sub(b.startedAt) >= b.versions.Memory
+	if versions := b.versions.Of(now, service); known && len(versions) == 1 {
 		return versions[0], true
 	}
 	return "", false
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -254,6 +254,7 @@
 		{"rows", g.relayRows},
 		{"suspects", g.watchSuspects},
 		{"suspect records", g.recordSuspects},
+		{"version records", g.recordVersions},
 		{"duty", g.runDuty},
 		{"callers", g.serveCallers},
 		{"ticks", g.tick},
--- a/internal/gateway/versions_test.go
+++ b/internal/gateway/versions_test.go
@@ -150,3 +150,66 @@
 		})
 	}
 }
+
+// restartAll stops gateways and starts them again at their addresses.
+func (env *testEnv) restartAll(gateways ...*testGateway) []*testGateway {
+	env.t.Helper()
+	var started []*testGateway
+	for _, gw := range gateways {
+		gw.cancel()
+		err := <-gw.ended
+		gw.ended <- err
+	}
+	for _, gw := range gateways {
+		started = append(started, env.restart(gw))
+	}
+	for _, gw := range started {
+		waitFor(env.t, gw.Daemon+" is ready again", gw.Ready)
+	}
+	return started
+}
+
+// TestStreamIsNotTakenUpAtAnotherVersionAfterLossOfAll guards against joining the events of two
+// software versions when no daemon remembers where the stream began, and against refusing all
+// streams then.
+func TestStreamIsNotTakenUpAtAnotherVersionAfterLossOfAll(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		after []string // Versions of the servers after the restart, the earlier one was v1.
+		whole bool
+	}{
+		{"the version stays", []string{"v1"}, true},
+		{"another version beside it", []string{"v1", "v2"}, false},
+		{"the version has just left", []string{"v2"}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			env := newTestEnv(t)
+			first := env.addVersion("s0", "model", "v1", breakingStream())
+			g1, g2 := env.startReady("g1"), env.startReady("g2")
+			g1.begin(t, "began0")
+			// Without a record a daemon that starts takes the present version for the only one.
+			time.Sleep(2 * recordInterval)
+			var newer []*backendServer
+			for i, v := range c.after {
+				if v != "v1" {
+					newer = append(newer, env.addVersion(fmt.Sprint("s", i+1), "model", v, breakingStream()))
+				}
+			}
+			if c.after[0] != "v1" {
+				env.store.remove("servers/" + first.id)
+			}
+			for _, gw := range env.restartAll(g1, g2) {
+				got := gw.takeUp(t, "began0")
+				if whole := got.status == http.StatusOK && got.body == events(3, 8); whole != c.whole {
+					t.Errorf("%s: got %+v, want whole: %v", gw.Daemon, got, c.whole)
+				}
+			}
+			for _, s := range newer {
+				if n := s.continued(); n > 0 {
+					t.Errorf("%d streams went on at another version", n)
+				}
+			}
+		})
+	}
+}
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -4,6 +4,8 @@
 package origin
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -102,6 +104,9 @@
 	v.seen[service][version] = now
 }
 
+// Services returns the services of which a version was noted.
+func (v *Versions) Services() []string { return slices.Collect(maps.Keys(v.seen)) }
+
 // Of returns the versions of a service within Memory.
 func (v *Versions) Of(now time.Time, service string) []string {
 	var list []string
