gateway: record in a release at which version streams began

Callers could not take up any stream after the loss of all daemons during a release: with two versions in service nobody knew which of them had begun a stream, and all were refused.

While a service has several versions, one daemon of those that are linked keeps a record in the store of the streams that began lately, a hash each, written twice a second if there are new ones. A daemon that starts reads it.

--- a/internal/gateway/begun.go
+++ b/internal/gateway/begun.go
@@ -34,6 +34,8 @@
 	startedAt, toldAt time.Time
 	// recordsRead means that versions has those that the services had before this daemon started.
 	recordsRead bool
+	// noted counts the streams that were noted, and recorded those that the record in the store has.
+	noted, recorded int
 }
 
 func newBegunStreams(now time.Time) *begunStreams {
@@ -108,6 +110,7 @@
 	if !b.streams.Note(now, stream, version) {
 		return
 	}
+	b.noted++
 	b.near = append(b.near, stream)
 	if forward {
 		b.far = append(b.far, stream)
@@ -122,8 +125,12 @@
 	for _, g := range groups {
 		for _, id := range g.Streams {
 			stream := origin.Stream(id)
-			switch isNew := b.streams.Note(now, stream, g.Version); {
-			case !isNew || !forward:
+			if !b.streams.Note(now, stream, g.Version) {
+				continue
+			}
+			b.noted++
+			switch {
+			case !forward:
 			case fromOwnPlace:
 				b.far = append(b.far, stream)
 			default:
@@ -162,6 +169,34 @@
 	return encodeBegun(b.streams.ByVersion(now)), true
 }
 
+// ambiguous reports whether a service has, or had until lately, several versions.
+func (b *begunStreams) ambiguous(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, service := range b.versions.Services() {
+		if len(b.versions.Of(now, service)) > 1 {
+			return true
+		}
+	}
+	return false
+}
+
+// toRecord returns all streams if some are not recorded, and what to pass to noteRecorded once they are.
+func (b *begunStreams) toRecord(now time.Time) (streams []message.BegunStreams, noted int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.noted > b.recorded {
+		streams = encodeBegun(b.streams.ByVersion(now))
+	}
+	return streams, b.noted
+}
+
+func (b *begunStreams) noteRecorded(noted int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.recorded = noted
+}
+
 // isComplete reports whether this daemon need not be told of the streams of its peers.
 func (b *begunStreams) isComplete(now time.Time) bool {
 	b.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -255,6 +255,7 @@
 		{"suspects", g.watchSuspects},
 		{"suspect records", g.recordSuspects},
 		{"version records", g.recordVersions},
+		{"stream records", g.recordStreams},
 		{"duty", g.runDuty},
 		{"callers", g.serveCallers},
 		{"ticks", g.tick},
--- a/internal/gateway/versions_test.go
+++ b/internal/gateway/versions_test.go
@@ -213,3 +213,43 @@
 		})
 	}
 }
+
+// TestStreamsOfTwoVersionsAreTakenUpAfterLossOfAll guards against refusing the streams that callers
+// take up during a release because all daemons were lost.
+func TestStreamsOfTwoVersionsAreTakenUpAfterLossOfAll(t *testing.T) {
+	env := newTestEnv(t)
+	versions := map[string]string{} // Of the servers, by id.
+	var servers []*backendServer
+	for i, v := range []string{"v1", "v1", "v2", "v2"} {
+		s := env.addVersion(fmt.Sprint("s", i), "model", v, breakingStream())
+		servers, versions[s.id] = append(servers, s), v
+	}
+	g1, g2 := env.startReady("g1"), env.startReady("g2")
+	const streams = 24
+	for i := range streams {
+		[]*testGateway{g1, g2}[i%2].begin(t, fmt.Sprint("began", i))
+	}
+	began := map[string]string{} // Versions, by stream.
+	for _, s := range servers {
+		for _, r := range s.received {
+			began[r.Header.Get("X-Id")] = s.version
+		}
+	}
+	time.Sleep(statusInterval + 2*streamRecordInterval)
+	gateways := env.restartAll(g1, g2)
+	for i := range streams {
+		stream := fmt.Sprint("began", i)
+		before := map[string]int{}
+		for _, s := range servers {
+			before[s.id] = s.continued()
+		}
+		if got := gateways[(i/2)%2].takeUp(t, stream); got.status != http.StatusOK || got.body != events(3, 8) {
+			t.Errorf("stream %s: got %+v", stream, got)
+		}
+		for _, s := range servers {
+			if s.continued() > before[s.id] && versions[s.id] != began[stream] {
+				t.Errorf("stream %s of %s went on at %s", stream, began[stream], versions[s.id])
+			}
+		}
+	}
+}
