gateway: record the begun streams of linked daemons sooner

A daemon wrote every 0.5 s for all others, of whose streams it learns with their statuses.

Where all daemons are linked, each now keeps a record of its own streams and writes it at most ten times a second; with links by place one daemon writes for its place four times a second.

--- a/internal/gateway/begun.go
+++ b/internal/gateway/begun.go
@@ -26,6 +26,8 @@
 	mu       sync.Mutex
 	streams  origin.Set
 	versions origin.Versions
+	// own has those of streams that began at this daemon.
+	own origin.Set
 	// near and far hold the streams of which peers in this place and in other places have not been
 	// told. Where all daemons are linked, far is not used.
 	near, far []origin.Stream
@@ -34,13 +36,14 @@
 	startedAt, toldAt time.Time
 	// recordsRead means that versions has those that the services had before this daemon started.
 	recordsRead bool
-	// noted counts the streams that were noted, and recorded those that the record in the store has.
-	noted, recorded int
+	// unrecorded counts the streams that were noted since the record in the store was written: for a record of
+	// all (true), and of those that began here (false).
+	unrecorded map[bool]int
 }
 
 func newBegunStreams(now time.Time) *begunStreams {
-	b := &begunStreams{startedAt: now}
-	b.streams.MostStreams = maxBegunStreams
+	b := &begunStreams{startedAt: now, unrecorded: map[bool]int{}}
+	b.streams.MostStreams, b.own.MostStreams = maxBegunStreams, maxBegunStreams
 	b.setMemory(minStreamMemory)
 	return b
 }
@@ -48,7 +51,7 @@
 func (b *begunStreams) setMemory(memory time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.streams.Memory, b.versions.Memory = memory, memory
+	b.streams.Memory, b.own.Memory, b.versions.Memory = memory, memory, memory
 }
 
 // streamMemory is how long the version of a stream may be asked for: the stream itself and the caller
@@ -110,7 +113,9 @@
 	if !b.streams.Note(now, stream, version) {
 		return
 	}
-	b.noted++
+	b.own.Note(now, stream, version)
+	b.unrecorded[true]++
+	b.unrecorded[false]++
 	b.near = append(b.near, stream)
 	if forward {
 		b.far = append(b.far, stream)
@@ -128,7 +133,7 @@
 			if !b.streams.Note(now, stream, g.Version) {
 				continue
 			}
-			b.noted++
+			b.unrecorded[true]++
 			switch {
 			case !forward:
 			case fromOwnPlace:
@@ -181,20 +186,25 @@
 	return false
 }
 
-// toRecord returns all streams if some are not recorded, and what to pass to noteRecorded once they are.
-func (b *begunStreams) toRecord(now time.Time) (streams []message.BegunStreams, noted int) {
+// toRecord returns the streams that began here, or all, if some are not recorded, and what to pass to
+// noteRecorded once they are.
+func (b *begunStreams) toRecord(now time.Time, all bool) (streams []message.BegunStreams, unrecorded int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.noted > b.recorded {
+	switch {
+	case b.unrecorded[all] == 0:
+	case all:
 		streams = encodeBegun(b.streams.ByVersion(now))
+	default:
+		streams = encodeBegun(b.own.ByVersion(now))
 	}
-	return streams, b.noted
+	return streams, b.unrecorded[all]
 }
 
-func (b *begunStreams) noteRecorded(noted int) {
+func (b *begunStreams) noteRecorded(all bool, recorded int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.recorded = noted
+	b.unrecorded[all] -= recorded
 }
 
 // isComplete reports whether this daemon need not be told of the streams of its peers.
--- a/internal/gateway/streamrecords.go
+++ b/internal/gateway/streamrecords.go
@@ -12,27 +12,20 @@
 
 const (
 	// streamPrefix is the key prefix of the records of begun streams. Daemons that all lost power know from
-	// them at which version the streams began that callers take up then.
-	streamPrefix = "streams/"
-	// allPlaces is the record of daemons that are all linked. Where links are kept by place, each place
-	// has its own.
-	allPlaces = "all"
-	// streamRecordInterval is the time between two writes of a record. Streams that began in it are
-	// lost with all daemons; most streams last for seconds.
-	streamRecordInterval = 500 * time.Millisecond
+	// them at which version the streams began that callers take up then. Where all daemons are linked each
+	// has a record of its own, else each place.
+	streamPrefix       = "streams/"
+	daemonStreamPrefix = streamPrefix + "daemon/"
+	placeStreamPrefix  = streamPrefix + "place/"
+	// streamRecordInterval and placeStreamRecordInterval are the least times between two writes of a record.
+	// Streams that began in it are lost with all daemons. A daemon of a place that writes for the others
+	// hears of their streams with their statuses, not sooner.
+	streamRecordInterval      = 100 * time.Millisecond
+	placeStreamRecordInterval = 250 * time.Millisecond
 )
 
-// streamRecordKey returns the key of the record that this daemon's streams belong to.
-func (g *Gateway) streamRecordKey(v *View) string {
-	if v.byPlace() {
-		return streamPrefix + g.Place
-	}
-	return streamPrefix + allPlaces
-}
-
-// recordStreams reads the streams that began before this daemon started, and keeps the record while a
-// service has several versions. At other times the record is not needed and is deleted. One daemon of
-// those that share a record writes it.
+// recordStreams reads the streams that began before this daemon started, and keeps a record while a
+// service has several versions. At other times the records are not needed and are deleted.
 func (g *Gateway) recordStreams(ctx context.Context) error {
 	dep := dependency{g: g, name: "stream records"}
 	retry := backoff{Most: maxWatchRetryDelay}
@@ -40,28 +33,29 @@
 	revisions := map[string]int64{}
 	for ctx.Err() == nil {
 		v := g.view.Load()
+		interval := streamRecordInterval
 		var err error
 		switch {
 		case v == nil || !v.daemonsListed:
 		case !read:
-			if err = g.readStreams(ctx, v, revisions); err == nil {
-				read = true
-				continue
-			}
+			err = g.readStreams(ctx, v, revisions)
+			read = err == nil
+		case !g.begun.ambiguous(time.Now()):
+			err = g.deleteStreams(ctx, v, revisions)
+		case !v.ByPlace:
+			err = g.writeStreams(ctx, daemonStreamPrefix+g.Daemon, false, revisions)
 		case v.isFirst(g.Daemon, g.Place):
-			err = g.writeStreams(ctx, g.streamRecordKey(v), revisions)
+			interval = placeStreamRecordInterval
+			err = g.writeStreams(ctx, placeStreamPrefix+g.Place, true, revisions)
 		}
 		dep.noteResult(err)
-		if wait := retry.next(err); err != nil {
-			sleep(ctx, wait)
-			continue
-		}
-		sleep(ctx, streamRecordInterval)
+		sleep(ctx, max(retry.next(err), interval))
 	}
 	return nil
 }
 
-// isFirst reports whether a daemon is the first by id of the living ones that share a record.
+// isFirst reports whether a daemon is the first by id of the living ones, with links by place of those in
+// its place.
 func (v *View) isFirst(self, place string) bool {
 	for _, d := range v.Daemons {
 		if d.Alive && d.ID < self && (!v.ByPlace || d.Place == place) {
@@ -76,7 +70,7 @@
 func (g *Gateway) readStreams(ctx context.Context, v *View, revisions map[string]int64) error {
 	prefix := streamPrefix
 	if v.ByPlace && !v.Delegate {
-		prefix += g.Place
+		prefix = placeStreamPrefix + g.Place
 	}
 	entries, _, err := g.Store.List(ctx, prefix)
 	if err != nil {
@@ -109,27 +103,26 @@
 	g.begun.merge(time.Now(), m.Streams, false, false)
 }
 
-// writeStreams writes the record if streams began since the last write, or deletes it if it is no longer
-// needed.
-func (g *Gateway) writeStreams(ctx context.Context, key string, revisions map[string]int64) error {
-	now := time.Now()
-	if !g.begun.ambiguous(now) {
-		if revisions[key] == 0 {
-			return nil
+// deleteStreams deletes the records that this daemon has written or, as the first one, read.
+func (g *Gateway) deleteStreams(ctx context.Context, v *View, revisions map[string]int64) error {
+	for key, revision := range revisions {
+		if revision == 0 || key != daemonStreamPrefix+g.Daemon && !v.isFirst(g.Daemon, g.Place) {
+			continue
 		}
-		err := g.Store.Delete(ctx, key, revisions[key])
+		err := g.Store.Delete(ctx, key, revision)
 		var conflict *keyvalue.ConflictError
-		switch {
-		case errors.As(err, &conflict):
-			revisions[key] = conflict.Current.Revision
-		case err != nil:
-			return errors.Annotate(err, "delete the record of begun streams")
-		default:
-			delete(revisions, key)
+		if err != nil && !errors.As(err, &conflict) {
+			return errors.Annotate(err, "delete a record of begun streams")
 		}
-		return nil
+		delete(revisions, key) // Its writer deletes one that has changed.
 	}
-	streams, noted := g.begun.toRecord(now)
+	return nil
+}
+
+// writeStreams writes a record, of the streams that began here or of all, if there are new ones since the
+// last write.
+func (g *Gateway) writeStreams(ctx context.Context, key string, all bool, revisions map[string]int64) error {
+	streams, unrecorded := g.begun.toRecord(time.Now(), all)
 	if len(streams) == 0 {
 		return nil
 	}
@@ -148,6 +141,6 @@
 		return errors.Annotate(err, "write the record of begun streams")
 	}
 	revisions[key] = e.Revision
-	g.begun.noteRecorded(noted)
+	g.begun.noteRecorded(all, unrecorded)
 	return nil
 }
--- a/internal/gateway/versions_test.go
+++ b/internal/gateway/versions_test.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
+
+	"apricotbridge/internal/origin"
 )
 
 // breakingStream returns a handler that breaks new streams off after two of eight events, and
@@ -20,12 +23,17 @@
 	}
 }
 
-// continued returns how many requests of continued streams the server has received.
-func (b *backendServer) continued() int {
+// requestsReceived returns the requests that the server has received.
+func (b *backendServer) requestsReceived() []*http.Request {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return slices.Clone(b.received)
+}
+
+// continued returns how many requests of continued streams the server has received.
+func (b *backendServer) continued() int {
 	n := 0
-	for _, r := range b.received {
+	for _, r := range b.requestsReceived() {
 		if r.Header.Get("Last-Event-Id") != "" {
 			n++
 		}
@@ -231,12 +239,18 @@
 	}
 	began := map[string]string{} // Versions, by stream.
 	for _, s := range servers {
-		for _, r := range s.received {
+		for _, r := range s.requestsReceived() {
 			began[r.Header.Get("X-Id")] = s.version
 		}
 	}
-	time.Sleep(statusInterval + 2*streamRecordInterval)
+	time.Sleep(4 * streamRecordInterval)
 	gateways := env.restartAll(g1, g2)
+	for _, gw := range gateways {
+		waitFor(t, gw.Daemon+" has read the records", func() bool {
+			_, ok := gw.begun.versionOf(time.Now(), origin.StreamOf("began0"), "model")
+			return ok
+		})
+	}
 	for i := range streams {
 		stream := fmt.Sprint("began", i)
 		before := map[string]int{}
