gateway: tell peers that a spoilt entry of a server can be read again

A peer gave up a sound server: the daemon that reads the store passed on that the server's entry could not be read, but not that it could be again, because its own list did not change by it. After 2 s the peer dropped the server until it read the store itself.

TestServerWhoseEntryWasSpoiltStaysInUse failed before. It passes now.

--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -55,6 +55,7 @@
 		list = append(list, r)
 		c.entries[e.Key] = storeEntry(e)
 	}
+	spoilt := c.unreadable
 	c.logUnreadable(list)
 	m := message.Listing{Revision: revision, Era: era}
 	changed := map[string]bool{}
@@ -62,7 +63,13 @@
 		c.serverChanged(change)
 		changed[c.g.Keys.Servers+change.Member.ID] = true
 	}
-	// A registration that ended after an outage of the store, or returned, changes no member here.
+	// A registration that ended after an outage of the store, or returned, changes no member here. Nor does
+	// one that can be read again.
+	for id := range spoilt {
+		if _, still := c.unreadable[id]; !still {
+			changed[c.g.Keys.Servers+id] = true
+		}
+	}
 	for key := range previous {
 		if _, listed := c.entries[key]; !listed {
 			changed[key] = true
--- a/internal/gateway/supply_test.go
+++ b/internal/gateway/supply_test.go
@@ -170,6 +170,30 @@
 	}
 }
 
+// TestServerWhoseEntryWasSpoiltStaysInUse guards against peers that give up a sound server because they
+// are not told that its entry can be read again.
+func TestServerWhoseEntryWasSpoiltStaysInUse(t *testing.T) {
+	env := newTestEnv(t)
+	s1 := env.addServer("s1", "plain", signedAnswer("ok"))
+	first, second := env.followedBy()
+	waitFor(t, "the second daemon uses the server", func() bool { return second.accepting("s1") })
+	env.store.mu.Lock()
+	env.store.write("servers/s1", []byte(panickingEntry))
+	env.store.mu.Unlock()
+	waitFor(t, "the second daemon knows that the entry was spoilt", func() bool {
+		result := make(chan bool, 1)
+		second.post(func(c *control) { result <- string(c.entries["servers/s1"].Value) == panickingEntry })
+		return <-result
+	})
+	env.register(s1, "plain", false)
+	for range 30 { // The server would be given up after 2 s.
+		time.Sleep(100 * time.Millisecond)
+		if !first.accepting("s1") || !second.accepting("s1") {
+			t.Fatal("the server is not used")
+		}
+	}
+}
+
 // lapsed reports whether the registration of a server has ended and may return.
 func (gw *testGateway) lapsed(server string) bool {
 	result := make(chan bool, 1)
