fleet: do not bring an ended server back because of an older listing

A server whose registration had ended got requests again when a listing arrived that had been read before: the set forgot the revision of an ended registration with its member. Listings of several daemons overtake each other, and with listings that are repeated more of them are old.

The end of a registration keeps its revision, and an entry of the same start that is not newer is ignored. As of when the list is complete does not go back either.

TestOlderListingDoesNotBringBackEndedServer failed before, with a single entry and with a listing. It passes now.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -113,10 +113,10 @@
 	byAnswer bool
 }
 
-// endedRecord is when and in which era of the store a registration ended.
+// endedRecord is when, in which era of the store and at which revision a registration ended.
 type endedRecord struct {
-	at  time.Time
-	era int64
+	at            time.Time
+	era, revision int64
 }
 
 // Change is a change of a member that routing may depend on.
@@ -138,7 +138,7 @@
 type Set struct {
 	members map[string]*Member
 	leaving map[Incarnation]leavingRecord
-	// ended holds when and in which era registrations ended.
+	// ended holds how registrations ended.
 	ended      map[Incarnation]endedRecord
 	lastOutage time.Time
 	era        int64
@@ -197,6 +197,9 @@
 		return s.noteUnreadable(now, m, r.Revision)
 	}
 	if m == nil || m.Incarnation != r.Server.Incarnation {
+		if e, ok := s.ended[Incarnation{r.ID, r.Server.Incarnation}]; ok && e.era == r.Era && r.Revision <= e.revision {
+			return Change{}, false // Read before the registration ended.
+		}
 		return s.add(now, m, r)
 	}
 	before := m.Server
@@ -320,7 +323,7 @@
 		m.LeavingSince, m.Leaving = now, true
 	}
 	delete(s.members, m.ID)
-	s.ended[Incarnation{m.ID, m.Incarnation}] = endedRecord{now, s.era}
+	s.ended[Incarnation{m.ID, m.Incarnation}] = endedRecord{now, s.era, m.revision}
 	return Change{Member: *m, Event: Gone}
 }
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -48,6 +48,24 @@
 	}
 }
 
+// TestOlderListingDoesNotBringBackEndedServer guards against new work for a server that has ended,
+// because a listing arrives that was read before.
+func TestOlderListingDoesNotBringBackEndedServer(t *testing.T) {
+	s := NewSet()
+	s.Apply(at(0), registration("a", 5, 7, false))
+	s.Apply(at(time.Second), Registration{ID: "a", Revision: 8})
+	if _, ok := s.Apply(at(2*time.Second), registration("a", 5, 7, false)); ok || acceptingIDs(s) != "" {
+		t.Errorf("accepting %q after a single older entry", acceptingIDs(s))
+	}
+	if changes := s.Replace(at(2*time.Second), 7, []Registration{registration("a", 6, 7, false)}); len(changes) > 0 || acceptingIDs(s) != "" {
+		t.Errorf("accepting %q after an older listing", acceptingIDs(s))
+	}
+	s.Apply(at(3*time.Second), registration("a", 9, 7, false))
+	if got := acceptingIDs(s); got != "a" {
+		t.Errorf("accepting %q after the server registered again", got)
+	}
+}
+
 // TestLapse guards against dropping all servers when their registrations lapse in an
 // outage of the store, and against keeping those that do not return.
 func TestLapse(t *testing.T) {
--- a/internal/gateway/missed.go
+++ b/internal/gateway/missed.go
@@ -22,10 +22,12 @@
 	return m.era < other.era || m.era == other.era && m.revision < other.revision
 }
 
-// setAsOf records as of when the list of servers is complete.
+// setAsOf records as of when the list of servers is complete, unless a later listing of a peer has arrived.
 func (c *control) setAsOf(moment storeMoment) {
-	c.asOf = moment
-	c.g.serversAsOf.Store(&moment)
+	if c.asOf.before(moment) {
+		c.asOf = moment
+		c.g.serversAsOf.Store(&moment)
+	}
 }
 
 // listedChange is a changed entry of a listing.
