--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -178,15 +178,6 @@
 	d.Router.FirstToken(now, id)
 }
 
-// RequireVersion limits the further attempts of a request to servers of a software version.
-func (d *Dispatcher) RequireVersion(id, version string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if w := d.works[id]; w != nil {
-		w.Call.Version = &version
-	}
-}
-
 // Progress records how many tokens a running request has generated.
 func (d *Dispatcher) Progress(id string, generated int) {
 	d.mu.Lock()
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -21,6 +21,15 @@
 	return d.Router.CountAccepting(d.table, call) > 0
 }
 
+// RequireVersion limits the further attempts of a request to servers of a software version.
+func (d *Dispatcher) RequireVersion(id, version string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if w := d.works[id]; w != nil {
+		w.Call.Version = &version
+	}
+}
+
 // Report records a server's load as of the given time.
 func (d *Dispatcher) Report(now, at time.Time, server string, incarnation int64, load routing.Load) {
 	d.mu.Lock()
--- a/internal/gateway/begun.go
+++ b/internal/gateway/begun.go
@@ -28,12 +28,12 @@
 	versions origin.Versions
 	// own has those of streams that began at this daemon.
 	own origin.Set
-	// near and far hold the streams of which peers in this place and in other places have not been
-	// told. Where all daemons are linked, far is not used.
+	// near and far hold the streams that were not yet sent to peers in this place and in other places.
+	// Where all daemons are linked, far is not used.
 	near, far []origin.Stream
-	// startedAt is when this daemon started, and toldAt when a peer sent all that it knew; zero means
-	// not yet.
-	startedAt, toldAt time.Time
+	// startedAt is when this daemon started, and suppliedAt when a peer sent all streams that it knew; zero
+	// means not yet.
+	startedAt, suppliedAt time.Time
 	// recordsRead means that versions has those that the services had before this daemon started.
 	recordsRead bool
 	// unrecorded counts the streams that were noted since the record in the store was written: for a record of
@@ -163,8 +163,7 @@
 	return encodeBegun(byVersion)
 }
 
-// all returns the streams that this daemon knows, if those are all: it started long ago, or was told by
-// a peer.
+// all returns the streams that this daemon knows, if it started long ago or was supplied by a peer.
 func (b *begunStreams) all(now time.Time) ([]message.BegunStreams, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -207,7 +206,7 @@
 	b.unrecorded[all] -= recorded
 }
 
-// isComplete reports whether this daemon need not be told of the streams of its peers.
+// isComplete reports whether this daemon needs no supply of the streams of its peers.
 func (b *begunStreams) isComplete(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -215,15 +214,15 @@
 }
 
 func (b *begunStreams) complete(now time.Time) bool {
-	return !b.toldAt.IsZero() || now.Sub(b.startedAt) >= b.streams.Memory
+	return !b.suppliedAt.IsZero() || now.Sub(b.startedAt) >= b.streams.Memory
 }
 
-// told merges all streams of a peer.
-func (b *begunStreams) told(now time.Time, groups []message.BegunStreams) {
+// mergeAll merges all streams of a peer.
+func (b *begunStreams) mergeAll(now time.Time, groups []message.BegunStreams) {
 	b.merge(now, groups, false, false)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.toldAt = now
+	b.suppliedAt = now
 }
 
 // versionOf returns the version at which a stream of a service began. A stream that is not known began at the
@@ -280,5 +279,5 @@
 }
 
 // unknownVersionRetryAfter is the Retry-After of a stream whose version is not known here. Another daemon may
-// know it, or this one may be told of it.
+// know it, or a peer may still send it.
 const unknownVersionRetryAfter = 500 * time.Millisecond
--- a/internal/gateway/dial_test.go
+++ b/internal/gateway/dial_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"net"
 	"net/http"
 	"os"
@@ -94,7 +95,9 @@
 				t.Errorf("got %+v; the server that left got %d requests, the other %d", got, leaving.requests(), staying.requests())
 			}
 			_ = server.Close()
-			<-served
+			if err := <-served; !errors.Is(err, http.ErrServerClosed) {
+				t.Error(err)
+			}
 		})
 	}
 }
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -307,21 +307,6 @@
 	return env.addVersion(id, service, "", answer)
 }
 
-// addVersion starts a backend server of a software version and registers it for a service.
-func (env *testEnv) addVersion(id, service, version string, answer http.HandlerFunc) *backendServer {
-	b := &backendServer{id: id, version: version}
-	b.Server = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
-		b.mu.Lock()
-		b.received = append(b.received, r.Clone(context.Background()))
-		b.mu.Unlock()
-		rw.Header().Set("X-Id", r.Header.Get("X-Id"))
-		answer(rw, r)
-	}))
-	env.t.Cleanup(b.Close)
-	env.register(b, service, false)
-	return b
-}
-
 func (env *testEnv) register(b *backendServer, service string, leaving bool) {
 	env.store.set("servers/"+b.id, fleet.Server{
 		ID: b.id, Incarnation: 1, Address: strings.TrimPrefix(b.URL, "http://"), Service: service, Version: b.version, Place: "a", Slots: 8, Leaving: leaving,
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -94,7 +94,7 @@
 			g.Log.Info("begun streams not readable", "Peer", from.Daemon, "Error", err.Error())
 			return
 		}
-		g.begun.told(now, m.Streams)
+		g.begun.mergeAll(now, m.Streams)
 	case message.KindListing:
 		m, err := message.Decode[message.Listing](e)
 		if err != nil {
--- a/internal/gateway/versions_test.go
+++ b/internal/gateway/versions_test.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"testing"
 	"time"
@@ -10,6 +12,21 @@
 	"apricotbridge/internal/origin"
 )
 
+// addVersion starts a backend server of a software version and registers it for a service.
+func (env *testEnv) addVersion(id, service, version string, answer http.HandlerFunc) *backendServer {
+	b := &backendServer{id: id, version: version}
+	b.Server = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		b.mu.Lock()
+		b.received = append(b.received, r.Clone(context.Background()))
+		b.mu.Unlock()
+		rw.Header().Set("X-Id", r.Header.Get("X-Id"))
+		answer(rw, r)
+	}))
+	env.t.Cleanup(b.Close)
+	env.register(b, service, false)
+	return b
+}
+
 // breakingStream returns a handler that breaks new streams off after two of eight events, and
 // finishes those that are continued.
 func breakingStream() http.HandlerFunc {
