--- a/internal/gateway/versions_test.go
+++ b/internal/gateway/versions_test.go
@@ -110,6 +110,7 @@
 		waitFor(t, "only the new version takes requests", func() bool { return gw.accepting("s2") && !gw.accepting("s1") })
 	}()
 	got := gw.send(t.Context(), http.MethodPost, "/stream/")
+	<-left
 	if got.body != events(1, 2) || got.err == nil || newer.requests() > 0 {
 		t.Errorf("got %+v after %d requests to v2, want two events and a broken connection", got, newer.requests())
 	}
