--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -48,8 +48,7 @@
 	}
 }
 
-// TestOlderListingDoesNotBringBackEndedServer guards against new work for a server that has ended,
-// because a listing arrives that was read before.
+// TestOlderListingDoesNotBringBackEndedServer guards against new work for an ended server because of an older listing.
 func TestOlderListingDoesNotBringBackEndedServer(t *testing.T) {
 	s := NewSet()
 	s.Apply(at(0), registration("a", 5, 7, false))
--- a/internal/gateway/dial_test.go
+++ b/internal/gateway/dial_test.go
@@ -49,8 +49,7 @@
 	}
 }
 
-// TestRequestIsNotSentToServerThatLeftWhileConnecting guards against sending a request to a server
-// that left, or asked for a pause, after it was chosen and before the connection was open.
+// TestRequestIsNotSentToServerThatLeftWhileConnecting guards against a request to a server that left, or paused, while its connection was opened.
 func TestRequestIsNotSentToServerThatLeftWhileConnecting(t *testing.T) {
 	for _, c := range []struct {
 		name   string
--- a/internal/gateway/recipients_test.go
+++ b/internal/gateway/recipients_test.go
@@ -35,8 +35,7 @@
 	return controls
 }
 
-// TestConfigurationCrossesToARegionOnce guards against copies of a large configuration that fill the
-// link between two regions and delay what is sent after them.
+// TestConfigurationCrossesToARegionOnce guards against copies of a large configuration that fill the link between two regions.
 func TestConfigurationCrossesToARegionOnce(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
 	for _, byPlace := range []bool{false, true} {
@@ -59,8 +58,7 @@
 	}
 }
 
-// TestConfigurationIsSentAgainToAnotherRegion guards against a region that gets no configuration
-// because the daemon that should send it has failed, and against one that gets it again and again.
+// TestConfigurationIsSentAgainToAnotherRegion guards against a region without a configuration because its sender failed, and against many copies.
 func TestConfigurationIsSentAgainToAnotherRegion(t *testing.T) {
 	start := time.Unix(1_700_000_000, 0)
 	controls := regionControls(start)
--- a/internal/gateway/supply_test.go
+++ b/internal/gateway/supply_test.go
@@ -109,8 +109,7 @@
 	<-done
 }
 
-// TestMissedListingIsSentAgain guards against a daemon that sends requests to a server that left
-// for as long as it can't read the store, because it missed one listing of its peers.
+// TestMissedListingIsSentAgain guards against requests to servers that left, by a daemon that missed one listing.
 func TestMissedListingIsSentAgain(t *testing.T) {
 	for _, meshMax := range []int{0, 1} {
 		t.Run(fmt.Sprint("mesh of ", meshMax), func(t *testing.T) {
@@ -147,8 +146,7 @@
 	return first, second
 }
 
-// TestEndOfRegistrationIsPassedOnAfterAnOutage guards against peers that send requests to a server
-// whose registration ended, because the daemon that read the store keeps it for a while.
+// TestEndOfRegistrationIsPassedOnAfterAnOutage guards against peers that keep using a server which the reader of the store keeps for a while.
 func TestEndOfRegistrationIsPassedOnAfterAnOutage(t *testing.T) {
 	env := newTestEnv(t)
 	ended := env.addServer("s1", "plain", signedAnswer("ok"))
@@ -170,8 +168,7 @@
 	}
 }
 
-// TestServerWhoseEntryWasSpoiltStaysInUse guards against peers that give up a sound server because they
-// are not told that its entry can be read again.
+// TestServerWhoseEntryWasSpoiltStaysInUse guards against peers that give up a sound server whose entry was spoilt for a moment.
 func TestServerWhoseEntryWasSpoiltStaysInUse(t *testing.T) {
 	env := newTestEnv(t)
 	s1 := env.addServer("s1", "plain", signedAnswer("ok"))
@@ -201,8 +198,7 @@
 	return <-result
 }
 
-// TestServersAreFollowedWithoutTheConfiguration guards against sending requests to a server that
-// left because the configuration takes long to read.
+// TestServersAreFollowedWithoutTheConfiguration guards against requests to a server that left, because the configuration is slow to read.
 func TestServersAreFollowedWithoutTheConfiguration(t *testing.T) {
 	env := newTestEnv(t)
 	leaving := env.addServer("s1", "plain", signedAnswer("ok"))
--- a/internal/gateway/versions_test.go
+++ b/internal/gateway/versions_test.go
@@ -58,8 +58,7 @@
 	return n
 }
 
-// TestStreamIsNotContinuedAtAnotherVersion guards against joining the events of servers of two
-// software versions in one answer.
+// TestStreamIsNotContinuedAtAnotherVersion guards against joining events of two software versions in one answer.
 func TestStreamIsNotContinuedAtAnotherVersion(t *testing.T) {
 	for _, versions := range [][]string{{"v1", "v1"}, {"v1", "v2"}, {"v1", "v1", "v2", "v2"}} {
 		t.Run(fmt.Sprint(versions), func(t *testing.T) {
@@ -90,8 +89,7 @@
 	}
 }
 
-// TestStreamWithoutServersOfItsVersionEnds guards against a stream that goes on at another version, or
-// waits, when no server of its own version takes requests.
+// TestStreamWithoutServersOfItsVersionEnds guards against a stream that goes on at another version, or waits, without servers of its own.
 func TestStreamWithoutServersOfItsVersionEnds(t *testing.T) {
 	env := newTestEnv(t)
 	left := make(chan struct{})
@@ -129,8 +127,7 @@
 	}
 }
 
-// TestStreamIsNotTakenUpAtAnotherVersion guards against joining the events of servers of two
-// software versions over the requests of a caller that takes up a stream, at any daemon.
+// TestStreamIsNotTakenUpAtAnotherVersion guards against joining events of two software versions when a caller takes a stream up.
 func TestStreamIsNotTakenUpAtAnotherVersion(t *testing.T) {
 	for _, meshMax := range []int{0, 1} {
 		t.Run(fmt.Sprint("mesh of ", meshMax), func(t *testing.T) {
@@ -195,9 +192,7 @@
 	return started
 }
 
-// TestStreamIsNotTakenUpAtAnotherVersionAfterLossOfAll guards against joining the events of two
-// software versions when no daemon remembers where the stream began, and against refusing all
-// streams then.
+// TestStreamIsNotTakenUpAtAnotherVersionAfterLossOfAll guards against joining two versions, or refusing all streams, when no daemon remembers them.
 func TestStreamIsNotTakenUpAtAnotherVersionAfterLossOfAll(t *testing.T) {
 	for _, c := range []struct {
 		name  string
@@ -240,8 +235,7 @@
 	}
 }
 
-// TestStreamsOfTwoVersionsAreTakenUpAfterLossOfAll guards against refusing the streams that callers
-// take up during a release because all daemons were lost.
+// TestStreamsOfTwoVersionsAreTakenUpAfterLossOfAll guards against refusing the streams of a release because all daemons were lost.
 func TestStreamsOfTwoVersionsAreTakenUpAfterLossOfAll(t *testing.T) {
 	env := newTestEnv(t)
 	versions := map[string]string{} // Of the servers, by id.
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -8,8 +8,7 @@
 
 var start = time.Unix(1_700_000_000, 0)
 
-// TestVersionOfStreamStays guards against a stream that changes its version when it is taken up, and
-// against streams that are remembered for ever.
+// TestVersionOfStreamStays guards against a stream that changes its version, and against streams remembered for ever.
 func TestVersionOfStreamStays(t *testing.T) {
 	s := Set{Memory: time.Minute, MostStreams: 3}
 	if !s.Note(start, StreamOf("a"), "v1") || s.Note(start.Add(time.Second), StreamOf("a"), "v2") {
@@ -32,8 +31,7 @@
 	}
 }
 
-// TestVersionIsRememberedAfterItsLastServer guards against taking the present version of a service for
-// the only one when another has just left.
+// TestVersionIsRememberedAfterItsLastServer guards against taking the present version for the only one when another has just left.
 func TestVersionIsRememberedAfterItsLastServer(t *testing.T) {
 	v := Versions{Memory: time.Minute}
 	v.Note(start, "model", "v1")
