rollout, gateway, platform: roll out software versions by evidence

Cause: nothing read an operator's order to move a service to another version of its software, so that a good version was never completed and a bad one got traffic like any other.

Change: package rollout decides shares, stages, verdict and completion without clock or network. Daemons merge states by statuses and listings, sum evidence by place, and withdraw a bad version without the store or the duty. Routing moves a share of the calls by hash.

--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -45,6 +45,13 @@
 	return d.Router.OwnLoads()
 }
 
+// RunningRequests returns how many requests of all daemons each server has.
+func (d *Dispatcher) RunningRequests(now time.Time) map[string]int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.Router.RunningRequests(now)
+}
+
 // SetPeerLoads replaces the load that another daemon puts on the servers.
 func (d *Dispatcher) SetPeerLoads(now time.Time, daemon string, loads []routing.ServerLoad) {
 	d.mu.Lock()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -236,6 +236,7 @@
 	defer stopOnDrain()
 	s.attemptsSent++
 	s.logRouting(grant)
+	s.trial = s.beginTrial(now, server, grant.Decision.Terms.Wait, grant.Decision.CachedTokens)
 	g.demand.addSentPrompt(s.service, &s.call, grant.Decision.CachedTokens)
 	req := s.backendRequest(server, remaining)
 	refused := false
@@ -303,8 +304,10 @@
 		s.noteMayHaveRun()
 	}
 	if s.r.Context().Err() != nil {
+		s.trial.abandoned(time.Now())
 		s.abortDisconnected("at server " + server.ID)
 	}
+	s.trial.abandoned(time.Now())
 	s.noteConnectionLost(server, err, s.serverEnded(ctx, server, err))
 	if s.suspectsServer(ctx) {
 		s.g.post(func(c *control) { c.suspectServer(time.Now(), server.ID) })
@@ -393,6 +396,7 @@
 	if err != nil {
 		return s.handleBodyError(ctx, server, err)
 	}
+	s.trial.answered(time.Now(), res.Status >= http.StatusInternalServerError)
 	a := &answer{status: res.Status, header: s.g.Protocol.Response(endToEndHeaders(res.Header)), body: body}
 	if failed {
 		err := errors.Errorf("server answered status %d", res.Status)
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -63,6 +63,8 @@
 	table             *routing.Table
 	// limited holds the servers that named the rate of requests that they take.
 	limited map[allowance.Incarnation]bool
+	// rollouts holds the latest rollout of each service.
+	rollouts map[string]rolloutView
 }
 
 // Configuration returns the configuration in force, or nil if there is none.
@@ -97,6 +99,7 @@
 	listed        []listedChange
 	keptFrom      storeMoment
 	daemonsListed bool
+	rollouts      rolloutControl
 	changed       bool
 }
 
@@ -267,6 +270,7 @@
 		c.g.Log.Info("peer draining", "Peer", from.Daemon, "Draining", s.Draining)
 	}
 	p.hello, p.lastStatus, p.revision = from, now, s.Revision
+	c.mergeRollouts(now, from.Daemon, s.Rollouts)
 	if now.Sub(p.refusedSent) > refusedResendDelay && c.g.dispatcher.RefusedHash(now) != s.Refused {
 		p.refusedSent = now
 		c.g.sendRefusedSuspects(now, from.Daemon)
@@ -290,6 +294,7 @@
 		c.serverChanged(change)
 	}
 	c.g.begun.noteServers(now, c)
+	c.judgeRollouts(now)
 	if c.rates.Expire(now) {
 		c.changed = true
 	}
@@ -321,10 +326,15 @@
 	for i, d := range v.Daemons {
 		daemons[i] = d.ID
 	}
-	var servers []routing.Server
-	for _, m := range c.fleet.Members() {
+	members := c.fleet.Members()
+	for _, m := range members {
 		v.Members[m.ID] = m
+	}
+	shifts, idle := c.publishRollouts(v)
+	servers := make([]routing.Server, 0, len(members))
+	for _, m := range members {
 		s := c.routingServer(now, m)
+		s.Accepting = s.Accepting && !idle[m.ID]
 		s.RateLimit = c.rateLimit(allowance.Incarnation{Server: m.ID, Start: m.Incarnation}, daemons)
 		servers = append(servers, s)
 	}
@@ -332,9 +342,11 @@
 		v.Members = nil
 	}
 	v.table = routing.NewTable(servers, c.regionLinks())
+	v.table.SetShifts(shifts)
 	v.ByPlace, v.Delegate, v.Delegates = c.topology.ByPlace, c.topology.Delegate, c.topology.Delegates
 	c.g.begun.noteServers(now, c)
 	c.g.view.Store(v)
+	c.g.evidence.retain(v)
 	c.g.dispatcher.SetTable(now, v.table)
 }
 
--- a/internal/gateway/duty.go
+++ b/internal/gateway/duty.go
@@ -106,6 +106,7 @@
 	// ordered holds the last orders.
 	ordered   map[orderKey]orderState
 	plannedAt time.Time
+	rollouts  dutyRollouts
 }
 
 type orderKey struct {
@@ -158,6 +159,7 @@
 		s.performActions(ctx, s.duty.Step(bootClockNow(), lease.Tick{}))
 		if s.duty.MayOrder(bootClockNow()) {
 			s.reportUsage(ctx)
+			s.advanceRollouts(ctx, time.Now())
 			s.orderServers(ctx, time.Now())
 		} else {
 			s.forgetReported()
@@ -305,6 +307,9 @@
 		if service.Scaling == nil || service.Engine == nil {
 			continue
 		}
+		if _, moving := v.rolloutInProgress(service.Name); moving {
+			continue // Servers of both versions run, and those of one of them will be stopped.
+		}
 		for _, o := range s.planOrders(now, v, service) {
 			s.placeOrder(ctx, now, service, s.countReady(v, service, o.Place, o.Reclaimable), o)
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -104,7 +104,9 @@
 	Decoder                    Decoder
 	Protocol                   Protocol
 	Keys                       Keys
-	Bounds                     Bounds
+	// Rollouts is nil in a deployment without rollouts of software versions.
+	Rollouts *Rollouts
+	Bounds   Bounds
 	// MeshMax is the greatest number of daemons that are linked in a full mesh; 0 means
 	// defaultMeshMax.
 	MeshMax  int
@@ -150,6 +152,8 @@
 	demand *demandTracker
 	begun  *begunStreams
 
+	evidence *rolloutEvidence
+
 	// evidenceNews holds the suspects of which this daemon, as a delegate, has news to forward:
 	// from its own place (true) to other places, and from those to its own.
 	evidenceNewsMu sync.Mutex
@@ -200,6 +204,7 @@
 	g.counts, g.clock = accounting.NewUsageCounter(), accounting.NewClock()
 	g.demand = newDemandTracker()
 	g.begun = newBegunStreams(time.Now())
+	g.evidence = &rolloutEvidence{}
 	g.recordedSuspects = map[uint64]int64{}
 	g.evidenceNews = map[bool]map[quarantine.Fingerprint]bool{true: {}, false: {}}
 	g.rows, g.placeLoads = map[string]daemonRow{}, map[string]placeLoads{}
@@ -256,6 +261,7 @@
 		{"suspect records", g.recordSuspects},
 		{"version records", g.recordVersions},
 		{"stream records", g.recordStreams},
+		{"rollouts", g.watchRollouts},
 		{"duty", g.runDuty},
 		{"callers", g.serveCallers},
 		{"ticks", g.tick},
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -251,6 +251,8 @@
 	lease time.Duration
 	// gatewayStore replaces store for gateways that start later, if it is not nil.
 	gatewayStore Store
+	// rollouts is Gateway.Rollouts of gateways that start later.
+	rollouts *Rollouts
 }
 
 // discardReports is a Reporter that accepts every report.
@@ -356,7 +358,7 @@
 		Daemon: id, Place: place, Region: "r", Regions: map[string]string{"a": "r", "b": "r", "c": "r"}, MeshMax: meshMax,
 		CallerAddress: callers.Addr().String(), PeerAddress: peers.Addr().String(),
 		CallerListener: callers, PeerListener: peers, Store: env.store, Decoder: decoder{}, Protocol: protocol{},
-		Keys: Keys{Configuration: "configuration", Servers: "servers/"},
+		Keys: Keys{Configuration: "configuration", Servers: "servers/"}, Rollouts: env.rollouts,
 		Bounds: Bounds{
 			GracePeriod: 3 * time.Second, RetryShare: 0.2, RetryBurst: 50, RetryWindow: 10 * time.Second, Lease: env.lease,
 			UsageWindow: time.Second, ReportWithin: 10 * time.Second,
--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -129,6 +129,10 @@
 
 // sendListing sends a listing to the peers for which include returns true.
 func (c *control) sendListing(m message.Listing, include func(peerState) bool) {
+	m.Rollouts = nil
+	for _, s := range c.rollouts.set.States() {
+		m.Rollouts = append(m.Rollouts, encodeRollout(time.Now(), s))
+	}
 	data, err := message.Encode(message.KindListing, m)
 	if err != nil {
 		c.g.Log.Error(err, "listing not sent")
@@ -149,6 +153,7 @@
 // delegate forwards listings of other places within its own place. A complete listing gives
 // a daemon its first list, or replaces an older one; otherwise its entries are applied like changes.
 func (c *control) applyPeerListing(now time.Time, from message.Hello, m message.Listing) {
+	c.mergeRollouts(now, from.Daemon, m.Rollouts)
 	first := m.Complete && !c.serversListed
 	if first {
 		c.g.Log.Info("servers listed", "Source", from.Daemon, "Revision", m.Revision, "Servers", len(m.Changes))
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -213,6 +213,7 @@
 		s.stream.lastEventID = last
 	}
 	s.stream.eventCount += count
+	s.trial.arrived(now, count)
 	s.g.dispatcher.Progress(s.call.ID, s.stream.eventCount)
 	return nil
 }
@@ -304,6 +305,7 @@
 		s.writeHeaders(res) // The stream has no events.
 	}
 	res.Close() // The end of the attempt's context would close the connection, which can be reused.
+	s.trial.streamed()
 	s.reportFinished()
 	s.logEnd(logs.Answered, res.Status, server.ID)
 }
--- a/internal/gateway/rows.go
+++ b/internal/gateway/rows.go
@@ -10,6 +10,7 @@
 	"apricotbridge/internal/accounting"
 	"apricotbridge/internal/message"
 	"apricotbridge/internal/quota"
+	"apricotbridge/internal/rollout"
 )
 
 const (
@@ -196,6 +197,9 @@
 		}
 		ownPlaceRows := encodeRows(now, rows)
 		ownPlaceRows.Evidence = g.takeEvidenceNews(now, true)
+		ownPlaceRows.Rollouts = g.evidence.encode(g.view.Load(), func(k rollout.Key) []rollout.Trial {
+			return g.evidence.sum.SumOfPlace(k, g.Place)
+		})
 		g.sendRows(ownPlaceRows, func(p message.Hello) bool { return p.Region != g.Region })
 		ownPlaceRows.Loads = []message.PlaceLoads{{Place: g.Place, Loads: encodeLoads(g.dispatcher.LoadsInPlace(now))}}
 		g.sendRows(ownPlaceRows, func(p message.Hello) bool { return p.Region == g.Region && p.Place != g.Place })
@@ -284,6 +288,7 @@
 func (g *Gateway) handleRows(now time.Time, from message.Hello, m message.Rows) {
 	g.handlePlaceLoads(now, m.Loads)
 	g.mergeEvidence(now, from.Place, m.Evidence)
+	g.evidence.merge(g.view.Load(), rollout.Source{Place: from.Place}, m.Rollouts)
 	for _, r := range decodeRows(now, m) {
 		if r.place == g.Place {
 			continue
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -127,6 +127,8 @@
 	began   string
 	version *string
 	stream  streamState
+	// trial observes the present attempt during a rollout of its service.
+	trial *attemptTrial
 }
 
 // serve handles one request.
--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -112,6 +112,7 @@
 	retry := backoff{Most: maxPollRetryDelay}
 	started := time.Now()
 	era := int64(0)
+	var versions versionReader
 	for ctx.Err() == nil {
 		if latest := g.Store.Era(); latest != era {
 			if era > 0 {
@@ -125,7 +126,7 @@
 			sleep(ctx, pollCheckInterval)
 			continue
 		}
-		err := g.readStore(ctx)
+		err := g.readStore(ctx, &versions)
 		dep.noteResult(err)
 		if err != nil {
 			now := time.Now()
@@ -171,7 +172,7 @@
 
 // readStore reads the servers' entries and the configuration once. The entries come first and take
 // effect at once: a configuration with many routes takes long to read.
-func (g *Gateway) readStore(ctx context.Context) error {
+func (g *Gateway) readStore(ctx context.Context, versions *versionReader) error {
 	eraBefore := g.Store.Era()
 	entries, revision, err := g.Store.List(ctx, g.Keys.Servers)
 	era := g.Store.Era()
@@ -181,6 +182,9 @@
 	if err != nil {
 		return errors.Annotate(err, "list the servers")
 	}
+	if err := versions.readOrders(ctx, g, era, entries); err != nil {
+		return err
+	}
 	listedAt := time.Now()
 	g.post(func(c *control) { c.applyListing(listedAt, era, revision, entries) })
 	document, err := g.Store.Get(ctx, g.Keys.Configuration)
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -5,6 +5,7 @@
 
 	"apricotbridge/internal/accounting"
 	"apricotbridge/internal/message"
+	"apricotbridge/internal/rollout"
 	"apricotbridge/internal/routing"
 )
 
@@ -35,11 +36,13 @@
 	}
 	s.BegunKnown = g.begun.isComplete(now)
 	s.Refused = g.dispatcher.RefusedHash(now)
+	s.Rollouts = v.rolloutStates(now, now.Add(-rolloutNews))
 	if scope == farPeers {
 		return s
 	}
 	own := encodeRows(now, []daemonRow{g.ownRow(now)})
 	loads := encodeLoads(g.dispatcher.OwnLoads())
+	own.Rollouts = g.ownTrials(now)
 	s.Own, s.Loads, s.Evidence = &own, &loads, g.takeEvidence(now)
 	g.sentPromptsMu.Lock()
 	s.Sent, g.sentPrompts = g.sentPrompts, nil
@@ -135,6 +138,7 @@
 		g.dispatcher.SetPeerLoads(now, from.Daemon, decodeLoads(s.Loads))
 	}
 	if s.Own != nil {
+		g.evidence.merge(g.view.Load(), rollout.Source{Place: from.Place, Daemon: from.Daemon, Start: from.Start}, s.Own.Rollouts)
 		for _, r := range decodeRows(now, *s.Own) {
 			if r.daemon == from.Daemon && g.storeRow(r) {
 				g.mergeRow(r)
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -372,6 +372,10 @@
 	// Revision of the store as of which the servers were listed.
 	Revision int64 `json:"Revision"`
 
+	// All rollouts that the sender knows. A listing that shows the servers of a
+	// version is not read without the order to roll it out.
+	Rollouts []RolloutState `json:"Rollouts,omitempty,omitzero"`
+
 	// Configuration version that was read; 0 means that none was read yet.
 	Version int64 `json:"Version"`
 }
@@ -435,6 +439,79 @@
 	Servers []ServerRate `json:"Servers"`
 }
 
+// RolloutEvidence is what one daemon or the daemons of one place observed at one
+// stage of a rollout. Its counts only rise.
+type RolloutEvidence struct {
+	// Name of the service.
+	Service string `json:"Service"`
+
+	// Stage of the rollout.
+	Stage int `json:"Stage"`
+
+	// Counts by route.
+	Trials []RolloutTrial `json:"Trials"`
+
+	// Software version to which the traffic moves.
+	Version string `json:"Version"`
+}
+
+// RolloutSide counts answers. Lists end with the last value that is not 0.
+type RolloutSide struct {
+	// Complete answers.
+	Answers int64 `json:"Answers,omitempty,omitzero"`
+
+	// Answers that state a failure of the server.
+	Failed int64 `json:"Failed,omitempty,omitzero"`
+
+	// Times to the first event or to the answer, by bucket.
+	First []int64 `json:"First,omitempty,omitzero"`
+
+	// Times between events, by bucket.
+	Pace []int64 `json:"Pace,omitempty,omitzero"`
+}
+
+// RolloutState is the state of a rollout of a service's software version.
+type RolloutState struct {
+	// Milliseconds since a daemon first read the order.
+	Age int64 `json:"Age,omitempty,omitzero"`
+
+	// Era of the store to which Revision belongs.
+	Era int64 `json:"Era,omitempty,omitzero"`
+
+	// InProgress, Completed or RolledBack.
+	Phase string `json:"Phase"`
+
+	// Why the rollout has come to its phase or stage.
+	Reason string `json:"Reason,omitempty,omitzero"`
+
+	// Revision of the order's entry in the store.
+	Revision int64 `json:"Revision"`
+
+	// Name of the service.
+	Service string `json:"Service"`
+
+	// How often the share of the version was raised.
+	Stage int `json:"Stage,omitempty,omitzero"`
+
+	// Software version to which the traffic moves.
+	Version string `json:"Version"`
+
+	// Milliseconds in which the rollout has to be completed.
+	Within int64 `json:"Within,omitempty,omitzero"`
+}
+
+// RolloutTrial compares the versions on one route.
+type RolloutTrial struct {
+	// What servers of the new version did.
+	New RolloutSide `json:"New"`
+
+	// What servers of other versions did.
+	Old RolloutSide `json:"Old"`
+
+	// Name of the route.
+	Route string `json:"Route"`
+}
+
 // Rows carries the rows of several daemons. Lists by organisation are in the order
 // of Organisations, so that each name is sent only once.
 type Rows struct {
@@ -448,6 +525,10 @@
 	// Names of the organisations, which define the order of lists by organisation.
 	Organisations []string `json:"Organisations"`
 
+	// What the sender observed in rollouts or, for receivers in other places, the sum
+	// over the daemons of its place.
+	Rollouts []RolloutEvidence `json:"Rollouts,omitempty,omitzero"`
+
 	// One row for each daemon.
 	Rows []DaemonRow `json:"Rows"`
 }
@@ -558,6 +639,10 @@
 	// Configuration version in force.
 	Revision int64 `json:"Revision"`
 
+	// Rollouts that the sender knows and that are in progress or ended a short time
+	// ago.
+	Rollouts []RolloutState `json:"Rollouts,omitempty,omitzero"`
+
 	// Prompts that the sender sent to backend servers since its last message.
 	Sent []SentPrompt `json:"Sent,omitempty,omitzero"`
 
--- a/internal/routing/affinity.go
+++ b/internal/routing/affinity.go
@@ -71,7 +71,7 @@
 	key := sharedPrefixKey(call)
 	r.rendezvousHashes = r.rendezvousHashes[:0]
 	for _, i := range servers {
-		if t.servers[i].Accepting {
+		if t.servers[i].Accepting && call.accepts(&t.servers[i]) {
 			r.rendezvousHashes = append(r.rendezvousHashes, mix(key, t.hashes[i])&^positionMask|uint64(i))
 		}
 	}
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -31,6 +31,8 @@
 	Excluded []string
 	// Version, if not nil, is the software version that the server must have.
 	Version *string
+	// AvoidVersion, if not nil, is the software version that the server must not have.
+	AvoidVersion *string
 	// Alone requires a server without other requests, for a suspected request in quarantine.
 	Alone bool
 	// Plain marks a call to a service without prompts.
@@ -45,8 +47,10 @@
 	Tokens int
 }
 
-// accepts reports whether a server has the version that the call requires.
-func (c *Call) accepts(s *Server) bool { return c.Version == nil || *c.Version == s.Version }
+// accepts reports whether a server has a version that the call may use.
+func (c *Call) accepts(s *Server) bool {
+	return (c.Version == nil || *c.Version == s.Version) && (c.AvoidVersion == nil || *c.AvoidVersion != s.Version)
+}
 
 func (c *Call) promptTokens() float64 {
 	if c.PromptTokens > 0 {
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -30,6 +30,13 @@
 // dispatching the call.
 func (r *Router) Choose(now time.Time, call *Call, t *Table, random *rand.Rand) Decision {
 	r.syncTable(t)
+	if shift, ok := t.shifts[call.Service]; ok && call.Version == nil {
+		return r.chooseShifted(now, call, t, shift, random)
+	}
+	return r.chooseUnshifted(now, call, t, random)
+}
+
+func (r *Router) chooseUnshifted(now time.Time, call *Call, t *Table, random *rand.Rand) Decision {
 	servers := t.services[call.Service]
 	if len(servers) == 0 {
 		return Decision{Reason: ReasonNoService}
--- a/internal/routing/parts.go
+++ b/internal/routing/parts.go
@@ -188,6 +188,18 @@
 	return list
 }
 
+// RunningRequests returns how many requests of all daemons each server has, as far as they are reported.
+func (r *Router) RunningRequests(now time.Time) map[string]int {
+	running := map[string]int{}
+	for id, st := range r.states {
+		others, _ := st.sumPeerLoads(now)
+		if n := st.inFlight + int(others); n > 0 {
+			running[id] = n
+		}
+	}
+	return running
+}
+
 // RecordPeerPrompt records that another daemon sent a prompt to a server.
 func (r *Router) RecordPeerPrompt(server string, parts []Part, expected int) {
 	st := r.states[server]
@@ -265,7 +277,7 @@
 	home, lowest := -1, uint64(0)
 	for _, i := range servers {
 		s := &t.servers[i]
-		if !s.Accepting || s.Suspect || s.Region != call.Region {
+		if !s.Accepting || s.Suspect || s.Region != call.Region || !call.accepts(s) {
 			continue
 		}
 		if hash := mix(prefix, t.hashes[i]); home < 0 || hash < lowest {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -61,6 +61,7 @@
 	regionNumbers map[string]int
 	serverRegions []int
 	links         [][]*Link
+	shifts        map[string]Shift
 }
 
 type serviceRegion struct{ service, region string }
@@ -108,7 +109,7 @@
 func (t *Table) regionalServers(call *Call) []int {
 	near := t.serversByRegion[serviceRegion{call.Service, call.Region}]
 	for _, i := range near {
-		if t.servers[i].Accepting {
+		if t.servers[i].Accepting && call.accepts(&t.servers[i]) {
 			return near
 		}
 	}
