backend, service: an answer is whole only if its request was delivered

Cause: the kernel reports a reset once. If the writer of a long body learned of it, the reader saw the end of the connection, which ends an answer without a length. Status 000 was skipped like an interim answer, and 600 to 999 were passed on.

Change: such an answer is complete only if the whole request was written, and a status is 100 to 599 without 101. Everything else is a broken answer.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -246,7 +246,10 @@
 		if err != nil {
 			return err
 		}
-		if head.StatusCode < 200 {
+		switch {
+		case head.StatusCode < 100 || head.StatusCode > 599 || head.StatusCode == http.StatusSwitchingProtocols:
+			return errors.Errorf("status %03d is none of an answer", head.StatusCode) // What follows is no answer either.
+		case head.StatusCode < 200:
 			continue
 		}
 		r.Leaving = r.Leaving || names.Leaving != "" && head.Header.Get(names.Leaving) == "1"
@@ -329,6 +332,8 @@
 	n, err := r.body.Read(b)
 	switch {
 	case err == nil:
+	case errors.Is(err, io.EOF) && r.CloseDelimited && !r.bodyComplete && !r.requestDelivered():
+		err = incomplete("body: connection lost during the request: ", io.EOF)
 	case errors.Is(err, io.EOF) && r.CloseDelimited && !r.bodyComplete && r.pool.Refuses(context.Background(), r.conn.address):
 		// A server that crashes closes its connections like one that has written everything.
 		err = incomplete("body: server ended: ", io.EOF)
@@ -340,6 +345,18 @@
 	return n, err
 }
 
+// requestDelivered waits until the request was written, or writing it failed. A reset is reported only
+// once: if the writer learned of it, the reader sees the end of the connection, as if the answer were
+// complete. The wait ends with the context of the request.
+func (r *Response) requestDelivered() bool {
+	if r.requestWritten == nil {
+		return true
+	}
+	done := <-r.requestWritten
+	r.requestWritten <- done // For Close.
+	return done
+}
+
 // ReadBody reads the whole body. A body of more than limit bytes is an error.
 func (r *Response) ReadBody(limit int64) ([]byte, error) {
 	if r.ContentLength > limit {
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strings"
 	"time"
@@ -74,6 +75,15 @@
 func (c *Client) Do(ctx context.Context, address string, call Call) (*Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
 	defer cancel()
+	// A reset while the body is written is reported to the writer only; the reader then sees the end
+	// of the connection, which ends an answer without a length.
+	written := make(chan error, 1)
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) {
+		select {
+		case written <- info.Err:
+		default: // Written again on another connection.
+		}
+	}})
 	// net/http sets GetBody for a *bytes.Reader but not for other reader types.
 	body := io.NopCloser(bytes.NewReader(call.Body))
 	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address+call.Path, body)
@@ -100,10 +110,23 @@
 		return nil, errors.Annotatef(ErrOutcomeUnknown, "%v", err)
 	}
 	defer res.Body.Close()
+	if res.StatusCode < 100 || res.StatusCode > 599 {
+		return nil, errors.Annotatef(ErrOutcomeUnknown, "status %03d is none of an answer", res.StatusCode)
+	}
 	data, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes+1))
 	if err != nil {
 		return nil, errors.Annotatef(ErrOutcomeUnknown, "answer cut short: %v", err)
 	}
+	if res.ContentLength < 0 && len(res.TransferEncoding) == 0 {
+		select {
+		case err = <-written:
+		case <-ctx.Done():
+			err = ctx.Err()
+		}
+		if err != nil {
+			return nil, errors.Annotatef(ErrOutcomeUnknown, "connection lost during the call: %v", err)
+		}
+	}
 	if len(data) > maxResponseBytes {
 		return nil, ErrTooLarge
 	}
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -72,3 +72,67 @@
 		}
 	}
 }
+
+func TestAnswerCutByResetDuringUploadIsUnknown(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = conn.Read(make([]byte, 512))
+			_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\n\r\n0123456789"))
+			_ = conn.(*net.TCPConn).SetLinger(0) // The close resets the connection.
+			_ = conn.Close()
+		}
+	}()
+	defer func() {
+		_ = l.Close()
+		<-done
+	}()
+	c := &Client{HTTP: NewHTTPClient(true)}
+	defer c.HTTP.CloseIdleConnections()
+	const tries = 60
+	complete := 0
+	for range tries {
+		if _, err := c.Do(t.Context(), l.Addr().String(), Call{Method: http.MethodPost, Path: "/", Body: make([]byte, 3<<20), Timeout: time.Minute}); err == nil {
+			complete++
+		}
+	}
+	if complete > 0 {
+		t.Errorf("%d of %d answers that were cut were taken for complete ones", complete, tries)
+	}
+}
+
+func TestOddStatusIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000", "099", "600", "999"} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = conn.Read(make([]byte, 4096))
+			_, _ = conn.Write([]byte("HTTP/1.1 " + status + " OK\r\nContent-Length: 4\r\n\r\nbody"))
+			_ = conn.Close()
+		}()
+		c := &Client{HTTP: NewHTTPClient(true)}
+		if _, err := c.Do(t.Context(), l.Addr().String(), Call{Method: http.MethodGet, Path: "/", Timeout: time.Minute}); !errors.Is(err, ErrOutcomeUnknown) {
+			t.Errorf("status %s: error %v, want an unknown outcome", status, err)
+		}
+		_ = l.Close()
+		<-done
+		c.HTTP.CloseIdleConnections()
+	}
+}
