intake, budget: bound what clients make a daemon keep

Cause: bodies were read whole without a bound on their sum or their time, heads were parsed without one, and connections were accepted without end.

Change: package intake bounds heads, bodies, unread answers and connections of all HTTP listeners of both daemons; what holds the most, or waits the longest, gives way. Package budget is the limit that responses of servers had, moved.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"apricotbridge/internal/budget"
 )
 
 const (
@@ -110,8 +112,8 @@
 	stopWatching   func() bool // Stops closing conn at the end of the context.
 	bodyComplete   bool
 	reusable       bool
-	// evicted is set, under the lock of pool.held, once the response was given up.
-	evicted bool
+	// holder is what the response holds of pool.held.
+	holder budget.Holder
 	// connReused is set if the connection has carried another request before.
 	connReused bool
 }
@@ -398,7 +400,7 @@
 	if r.conn == nil {
 		return
 	}
-	r.pool.held.release(r)
+	r.pool.held.Release(&r.holder)
 	requestDone := true
 	if r.requestWritten != nil {
 		select {
@@ -424,7 +426,7 @@
 
 // abandon closes the connection, which cancels the request at the server.
 func (r *Response) abandon() {
-	r.pool.held.release(r)
+	r.pool.held.Release(&r.holder)
 	r.stopWatching()
 	_ = r.conn.Close() // Already closed if the context has ended.
 	r.conn = nil
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -13,6 +13,8 @@
 
 	"github.com/juju/errors"
 	"golang.org/x/sys/unix"
+
+	"apricotbridge/internal/budget"
 )
 
 const (
@@ -70,7 +72,7 @@
 	idle   map[string][]*conn
 	opened int64
 	reused int64
-	held   heldBytes
+	held   budget.Budget
 }
 
 // conn is a connection, used by one request at a time.
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -10,6 +10,8 @@
 	"github.com/google/uuid"
 	"github.com/juju/errors"
 
+	"apricotbridge/internal/budget"
+	"apricotbridge/internal/intake"
 	"apricotbridge/pkg/config"
 	"apricotbridge/pkg/problem"
 )
@@ -137,17 +139,26 @@
 // readBody reads the complete body. Requests with an incomplete body are never
 // dispatched.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *problem.Problem) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
+	client := intake.Of(r)
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(time.Now().Add(maxBodyTime)) // Fails for requests that a peer forwards.
+	body, err := client.ReadBody(r.Body.Read, r.ContentLength, limit)
+	switch {
+	case errors.Is(err, intake.ErrTooLarge):
 		return nil, problem.New(problem.BodyTooLarge, "body is over %d bytes", limit)
-	}
-	if err != nil {
+	case errors.Is(err, budget.ErrGivenUp):
+		return nil, problem.New(problem.NoCapacity, "too many bodies are being received")
+	case !errors.Is(err, io.EOF):
 		return nil, problem.New(problem.BadRequest, "body was not received whole: %v", err)
 	}
+	_ = rc.SetReadDeadline(time.Time{}) // As above.
+	client.Received()
 	return body, nil
 }
 
+// maxBodyTime bounds the time in which a body arrives. The longest targets of ranks are shorter.
+const maxBodyTime = time.Minute
+
 // entriesBody is the response of GET /v1/entries.
 type entriesBody struct {
 	Entries     []string `json:"Entries"`
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -21,6 +21,7 @@
 	"apricotbridge/internal/dispatch"
 	"apricotbridge/internal/engine"
 	"apricotbridge/internal/instances"
+	"apricotbridge/internal/intake"
 	"apricotbridge/internal/keyvalue"
 	"apricotbridge/internal/peer"
 	"apricotbridge/internal/quarantine"
@@ -202,7 +203,7 @@
 	t.start("placement", d.runPlacement)
 	t.start("notices", d.followNotices)
 	t.start("peers", d.hub.Run)
-	t.start("callers", func(ctx context.Context) error { return serveHTTP(ctx, server, callers) })
+	t.start("callers", func(ctx context.Context) error { return serveHTTP(ctx, &intake.Gate{}, server, callers) })
 	t.start("operators", func(ctx context.Context) error { return d.serveOperators(ctx, operators) })
 	close(d.ready)
 	d.Log.Info("daemon started", "CallerAddress", d.addrs.caller, "OperatorAddress", d.addrs.operator)
@@ -240,9 +241,10 @@
 
 // serveHTTP serves until the context is cancelled, then closes the listener and all
 // connections. After a drain no request is left at that point.
-func serveHTTP(ctx context.Context, s *http.Server, l net.Listener) error {
+func serveHTTP(ctx context.Context, gate *intake.Gate, s *http.Server, l net.Listener) error {
+	gate.Prepare(s)
 	serveResult := make(chan error, 1)
-	go func() { serveResult <- s.Serve(l) }()
+	go func() { serveResult <- s.Serve(gate.Listener(l)) }()
 	select {
 	case <-ctx.Done():
 		shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -11,6 +11,7 @@
 	"github.com/kataras/iris/v12"
 
 	"apricotbridge/internal/dispatch"
+	"apricotbridge/internal/intake"
 )
 
 // Status is the status of a daemon in the operator API.
@@ -90,7 +91,7 @@
 	if err := app.Build(); err != nil {
 		return errors.Annotate(err, "build operator API")
 	}
-	return serveHTTP(ctx, &http.Server{
+	return serveHTTP(ctx, &intake.Gate{}, &http.Server{
 		Handler: app, ReadHeaderTimeout: defaultHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}, l)
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -407,6 +407,10 @@
 		return attemptResult{ending: dispatch.Broken, err: err, answer: a}
 	}
 	s.reportFinished()
+	if err := s.client.HoldAnswer(int64(len(a.body))); err != nil {
+		s.abortDisconnected("too many answers wait for their callers")
+	}
+	res.Close() // The answer is counted for the caller now.
 	s.writeAnswer(a)
 	s.logEnd(logs.Answered, a.status, server.ID)
 	return attemptResult{done: true}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"apricotbridge/internal/backend"
 	"apricotbridge/internal/dispatch"
 	"apricotbridge/internal/fleet"
+	"apricotbridge/internal/intake"
 	"apricotbridge/internal/keyvalue"
 	"apricotbridge/internal/lease"
 	"apricotbridge/internal/message"
@@ -111,6 +112,8 @@
 	// defaultMeshMax.
 	MeshMax  int
 	Backends *backend.Pool
+	// Callers and Peers bound the clients of the listeners; nil means the defaults of package intake.
+	Callers, Peers *intake.Gate
 	// Reporter sends usage reports and Orderer orders servers. If both are nil, the
 	// daemon does not compete for the duty.
 	Reporter Reporter
@@ -152,7 +155,7 @@
 	demand *demandTracker
 	begun  *begunStreams
 
-	evidence *rolloutEvidence
+	evidence rolloutEvidence
 
 	// evidenceNews holds the suspects of which this daemon, as a delegate, has news to forward:
 	// from its own place (true) to other places, and from those to its own.
@@ -204,7 +207,12 @@
 	g.counts, g.clock = accounting.NewUsageCounter(), accounting.NewClock()
 	g.demand = newDemandTracker()
 	g.begun = newBegunStreams(time.Now())
-	g.evidence = &rolloutEvidence{}
+	if g.Callers == nil {
+		g.Callers = &intake.Gate{}
+	}
+	if g.Peers == nil {
+		g.Peers = &intake.Gate{}
+	}
 	g.recordedSuspects = map[uint64]int64{}
 	g.evidenceNews = map[bool]map[quarantine.Fingerprint]bool{true: {}, false: {}}
 	g.rows, g.placeLoads = map[string]daemonRow{}, map[string]placeLoads{}
@@ -219,7 +227,7 @@
 			Daemon: g.Daemon, Place: g.Place, Region: g.Region,
 			PeerAddress: g.PeerAddress, CallerAddress: g.CallerAddress, Start: g.start,
 		},
-		Listener: g.PeerListener, OnMessage: g.handleMessage, Log: g.Log.WithName("peer"), Metrics: g.Metrics,
+		Listener: g.PeerListener, Gate: g.Peers, OnMessage: g.handleMessage, Log: g.Log.WithName("peer"), Metrics: g.Metrics,
 		MaxBackoff: maxPeerBackoff,
 		OnPeerUp:   g.greet,
 		OnPeerDown: func(p message.Hello) { g.post(func(c *control) { c.peerDown(p) }) },
--- a/internal/gateway/measures.go
+++ b/internal/gateway/measures.go
@@ -11,6 +11,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"apricotbridge/internal/intake"
 	"apricotbridge/internal/quota"
 )
 
@@ -75,6 +76,19 @@
 	value("backend.connections.opened", opened)
 	value("backend.connections.reused", reused)
 	value("requests.inflight", g.inFlight.Load())
+	for door, gate := range map[string]*intake.Gate{"callers": g.Callers, "peers": g.Peers} {
+		u := gate.Usage()
+		fmt.Fprintf(w, "%s{door=%q} %d\n", name("intake.connections"), door, u.Connections)
+		fmt.Fprintf(w, "%s{door=%q} %d\n", name("intake.closed"), door, u.Closed)
+		fmt.Fprintf(w, "%s{door=%q} %d\n", name("intake.held.bytes"), door, u.Memory.Held)
+		fmt.Fprintf(w, "%s{door=%q} %d\n", name("intake.held.most.bytes"), door, u.Memory.Most)
+		fmt.Fprintf(w, "%s{door=%q} %d\n", name("intake.given.up"), door, u.Memory.GivenUp)
+	}
+	if v := g.view.Load(); v != nil {
+		for service, r := range v.rollouts {
+			fmt.Fprintf(w, "%s{service=%q,version=%q,phase=%q} %g\n", name("rollout.share"), service, r.Version, r.Phase, r.Share(g.rolloutExposure()))
+		}
+	}
 	now := time.Now()
 	status := g.dispatcher.Status(now)
 	value("dispatch.granted", status.Counts.Granted)
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -406,7 +406,7 @@
 
 // ownTrials returns what this daemon observed in rollouts, if a status is to have it.
 func (g *Gateway) ownTrials(now time.Time) []message.RolloutEvidence {
-	e := g.evidence
+	e := &g.evidence
 	if now.Sub(e.sentAt) < trialsInterval {
 		return nil
 	}
@@ -534,7 +534,7 @@
 
 // record adds to the counts of the attempt's side.
 func (t *attemptTrial) record(add func(*rollout.Side)) {
-	e := t.g.evidence
+	e := &t.g.evidence
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	counts := e.sum.Observe(t.key, rollout.Source{Place: t.g.Place, Daemon: t.g.Daemon, Start: t.g.start}, t.route)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -16,7 +17,9 @@
 	"github.com/juju/errors"
 
 	"apricotbridge/internal/admission"
+	"apricotbridge/internal/budget"
 	"apricotbridge/internal/dispatch"
+	"apricotbridge/internal/intake"
 	"apricotbridge/internal/logs"
 	"apricotbridge/internal/quarantine"
 	"apricotbridge/internal/quota"
@@ -47,6 +50,8 @@
 	// lateRequestTime is how long a request that arrives at the very end of a drain may take
 	// to be read and refused.
 	lateRequestTime = drainMargin / 2
+	// refusedBodyTime bounds the reading of the body of a request that was refused.
+	refusedBodyTime = 2 * time.Second
 	// noConfigurationRetryAfter is the Retry-After of a daemon without a configuration.
 	noConfigurationRetryAfter = 300 * time.Millisecond
 )
@@ -68,8 +73,9 @@
 			}
 		},
 	}
+	g.Callers.Prepare(s)
 	served := make(chan error, 1)
-	go func() { served <- s.Serve(g.CallerListener) }()
+	go func() { served <- s.Serve(g.Callers.Listener(g.CallerListener)) }()
 	select {
 	case err := <-served:
 		return errors.Annotate(err, "serve callers")
@@ -97,11 +103,13 @@
 
 // session handles one request of a caller.
 type session struct {
-	g        *Gateway
-	w        http.ResponseWriter
-	r        *http.Request
-	call     Call
-	view     *View
+	g    *Gateway
+	w    http.ResponseWriter
+	r    *http.Request
+	call Call
+	view *View
+	// client is the caller's connection; nil in tests.
+	client   *intake.Connection
 	route    *route.Route
 	service  string
 	engine   bool
@@ -135,8 +143,10 @@
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	s := &session{g: g, w: w, r: r, received: time.Now(), view: g.view.Load()}
+	s := &session{g: g, w: w, r: r, received: time.Now(), view: g.view.Load(), client: intake.Of(r)}
 	if p := s.admit(); p != nil {
+		// The HTTP server reads what is left of the body before it closes the connection.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(refusedBodyTime)) // Fails in tests only.
 		s.refuse(p)
 		return
 	}
@@ -169,6 +179,7 @@
 		return p
 	}
 	s.received = time.Now()
+	s.client.Received()
 	s.setLimits()
 	if !s.g.accepting(s.received, s.deadline, s.route.Stream) {
 		return problem.New(problem.Draining, "daemon is leaving")
@@ -216,20 +227,32 @@
 	if s.r.ContentLength == 0 {
 		return nil
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(s.w, s.r.Body, limit))
-	var tooLarge *http.MaxBytesError
+	// A body that arrives after the time of its request is of no use.
+	rc := http.NewResponseController(s.w)
+	_ = rc.SetReadDeadline(s.received.Add(s.wait())) // Fails in tests only.
+	body, err := s.client.ReadBody(s.r.Body.Read, s.r.ContentLength, limit)
 	switch {
-	case errors.As(err, &tooLarge):
+	case errors.Is(err, intake.ErrTooLarge):
+		s.w.Header().Set("Connection", "close")
 		return problem.New(problem.BodyTooLarge, "body has over %d bytes", limit)
-	case err != nil:
+	case errors.Is(err, budget.ErrGivenUp):
+		p := problem.New(problem.NoCapacity, "too many bodies are being received")
+		p.RetryAfter = jitter(time.Second)
+		return p
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		p := problem.New(problem.DeadlineUnreachable, "body not received in time")
+		p.RetryAfter = jitter(time.Second)
+		return p
+	case !errors.Is(err, io.EOF):
 		return problem.New(problem.BadRequest, "body not read: %v", err)
 	}
+	_ = rc.SetReadDeadline(time.Time{}) // Fails in tests only.
 	s.body = body
 	return nil
 }
 
-// setLimits sets the deadline and the service of a request.
-func (s *session) setLimits() {
+// wait returns how long the caller waits for the answer.
+func (s *session) wait() time.Duration {
 	wait := s.route.Timeout
 	if wait <= 0 {
 		wait = defaultTimeout
@@ -237,7 +260,12 @@
 	if s.call.Timeout > 0 {
 		wait = min(wait, s.call.Timeout)
 	}
-	s.deadline = s.received.Add(max(wait-answerMargin, 0))
+	return wait
+}
+
+// setLimits sets the deadline and the service of a request.
+func (s *session) setLimits() {
+	s.deadline = s.received.Add(max(s.wait()-answerMargin, 0))
 	s.service = s.route.ChooseService(s.call.ID)
 	if service := s.view.index.services[s.service]; service != nil {
 		s.engine = service.Engine != nil
--- a/internal/peer/hub.go
+++ b/internal/peer/hub.go
@@ -16,6 +16,7 @@
 	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"apricotbridge/internal/intake"
 	"apricotbridge/internal/message"
 )
 
@@ -47,6 +48,8 @@
 	Self message.Hello
 	// Listener accepts links. The hub closes it.
 	Listener net.Listener
+	// Gate bounds the connections before they are links; nil means the defaults of package intake.
+	Gate *intake.Gate
 	// Handler serves the calls of peers. If nil, calls are refused.
 	Handler Handler
 	// OnMessage processes all other messages, one at a time per link. It must not block,
@@ -104,6 +107,9 @@
 		h.links = map[*link]struct{}{}
 		h.keepers = map[Target]context.CancelFunc{}
 		h.dialing = map[string]chan struct{}{}
+		if h.Gate == nil {
+			h.Gate = &intake.Gate{}
+		}
 		if h.IdleTimeout == 0 {
 			h.IdleTimeout = DefaultIdleTimeout
 		}
@@ -127,9 +133,10 @@
 	defer stop()
 	mux := http.NewServeMux()
 	mux.HandleFunc(linkPath, h.accept)
-	srv := &http.Server{Handler: mux, ReadHeaderTimeout: handshakeTimeout}
+	srv := &http.Server{Handler: mux, ReadHeaderTimeout: handshakeTimeout, IdleTimeout: handshakeTimeout}
+	h.Gate.Prepare(srv)
 	served := make(chan error, 1)
-	go func() { served <- srv.Serve(h.Listener) }()
+	go func() { served <- srv.Serve(h.Gate.Listener(h.Listener)) }()
 	ticker := time.NewTicker(max(h.IdleTimeout/8, 10*time.Millisecond))
 	defer ticker.Stop()
 	var err error
