gateway: a daemon that knows that the duty is held does not read who holds it

Cause: noteEra passed the era of the store to the lease's state machine ten times a second, whether or not it was new, and each step also polls the entry when that is due. So every daemon read it all the time, also those that may not hold the duty.

Change: only a new era is passed on.

--- a/internal/gateway/duty.go
+++ b/internal/gateway/duty.go
@@ -221,17 +221,19 @@
 // noteEra passes the era of the store to the duty, which has to precede the result of the call
 // that showed it.
 func (s *dutyState) noteEra() []lease.Action {
-	if era := s.g.Store.Era(); era != s.era {
-		switch {
-		case s.era == 0:
-		case s.reportsKnown && s.duty.Holds(bootClockNow()):
-			s.lostReports = max(s.lostReports, s.reported.Window) // No other daemon has reported a later one.
-		default:
-			s.lostReports = s.g.latestReportable(time.Now())
-		}
-		s.reportedLoaded = false
-		s.era = era
+	era := s.g.Store.Era()
+	if era == s.era {
+		return nil // A step would also read the entry when that is due.
+	}
+	switch {
+	case s.era == 0:
+	case s.reportsKnown && s.duty.Holds(bootClockNow()):
+		s.lostReports = max(s.lostReports, s.reported.Window) // No other daemon has reported a later one.
+	default:
+		s.lostReports = s.g.latestReportable(time.Now())
 	}
+	s.reportedLoaded = false
+	s.era = era
 	return s.duty.Step(bootClockNow(), lease.Restored{Era: s.era})
 }
 
