--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -222,6 +222,11 @@
 		g.Metrics = metrics.NewRegistry()
 	}
 	g.requestMetrics = newRequestMetrics(g.Metrics)
+	for door, gate := range map[string]*intake.Gate{"callers": g.Callers, "peers": g.Peers} {
+		gate.OnClosed = func(source, reason string, closed int64) {
+			g.Log.Info("connections closed", "Door", door, "Source", source, "Reason", reason, "Closed", closed)
+		}
+	}
 	g.hub = &peer.Hub{
 		Self: message.Hello{
 			Daemon: g.Daemon, Place: g.Place, Region: g.Region,
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -50,14 +50,40 @@
 	MaxBytes int64
 	// MaxConnections bounds the connections of all listeners together; 0 means 4,096.
 	MaxConnections int
+	// OnClosed is told at most once a second of a connection that was closed, with how many were since the
+	// last time. It must not block, and may be nil.
+	OnClosed func(source, reason string, closed int64)
 
 	held budget.Budget
+	news closedNews
 
 	mu          sync.Mutex
 	connections map[*Connection]struct{}
 	closed      int64
 }
 
+// closedNews counts the closed connections between two calls of OnClosed.
+type closedNews struct {
+	mu     sync.Mutex
+	count  int64
+	toldAt time.Time
+}
+
+// newsInterval is the least time between two calls of OnClosed.
+const newsInterval = time.Second
+
+func (g *Gate) noteClosed(now time.Time, c *Connection, reason string) {
+	n := &g.news
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.count++
+	if g.OnClosed == nil || now.Sub(n.toldAt) < newsInterval {
+		return
+	}
+	g.OnClosed(c.RemoteAddr().String(), reason, n.count)
+	n.count, n.toldAt = 0, now
+}
+
 func (g *Gate) maxBytes() int64 {
 	if g.MaxBytes > 0 {
 		return g.MaxBytes
@@ -165,7 +191,10 @@
 		return nil, err
 	}
 	own := &Connection{Conn: c, gate: l.gate, inHead: true, progressAt: time.Now()}
-	own.holder.GiveUp = own.abort
+	own.holder.GiveUp = func() {
+		own.abort()
+		l.gate.noteClosed(time.Now(), own, "holds the most memory")
+	}
 	l.gate.add(own)
 	return own, nil
 }
@@ -181,6 +210,7 @@
 			delete(g.connections, stalled)
 			g.closed++
 			stalled.abort()
+			g.noteClosed(time.Now(), stalled, "waits the longest of too many connections")
 		}
 	}
 	g.connections[c] = struct{}{}
@@ -188,6 +218,7 @@
 		delete(g.connections, c)
 		g.closed++
 		c.abort()
+		g.noteClosed(time.Now(), c, "all of too many connections have requests in progress")
 	}
 }
 
