routing: a prompt queues where its prefix is cached for as long as that saves

Cause: a server with 250 ms of queued reading counted as full, also for prompts of which it held most, so that they were read whole elsewhere and made that server full too. And the home of a prefix counted as not holding it until a daemon of the same place had sent it there.

--- a/internal/routing/parts.go
+++ b/internal/routing/parts.go
@@ -116,6 +116,16 @@
 	return r.options.MaxBacklog <= 0 || r.backlogSeconds(now, st) < r.options.MaxBacklog.Seconds()
 }
 
+// backlogAcceptable reports whether a prompt of which a server holds some tokens may queue there. Up to the time
+// that they save, its first token comes no later than from an idle server, and no other server spends that time.
+func (r *Router) backlogAcceptable(now time.Time, st *serverState, cached float64) bool {
+	limit := r.options.MaxBacklog.Seconds()
+	if r.options.QueueForCache {
+		limit += prefillSeconds(st.prefillRate, cached)
+	}
+	return r.options.MaxBacklog <= 0 || r.backlogSeconds(now, st) < limit
+}
+
 // crossPlaceSlotShare is the share of the slots of a server in another place that one
 // daemon may use, as it does not know the load from the daemons there.
 const crossPlaceSlotShare = 1.0 / 16
@@ -287,6 +297,19 @@
 	return home
 }
 
+// homeTokens returns how many tokens of a prompt its home in the region is expected to hold. Daemons of other
+// places send it there too, without a report to this one.
+func (r *Router) homeTokens(call *Call, server string) float64 {
+	if !r.options.QueueForCache || !r.preferPlace || r.table == nil {
+		return 0
+	}
+	home := r.homeOf(call, r.table, r.table.services[call.Service], sharedPrefixOf(call.Parts))
+	if home < 0 || r.table.servers[home].ID != server {
+		return 0
+	}
+	return regionHomeCachedShare * sharedTokens(call.Parts)
+}
+
 // sharedTokens returns how many tokens of a prompt it has in common with others.
 func sharedTokens(parts []Part) float64 {
 	if len(parts) < 2 {
@@ -317,7 +340,7 @@
 	switch {
 	case verdict == verdictUnhealthy:
 		return kindUnhealthy
-	case load > st.slots-1 || !sc.router.backlogWithinLimit(sc.now, st):
+	case load > st.slots-1 || !sc.router.backlogAcceptable(sc.now, st, cached):
 		return kindFull
 	case !sc.router.preferPlace, s.Place == sc.call.Place, sameRegion && cached > 0:
 		return kindPreferred
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -21,6 +21,10 @@
 	// SharedLoads is set when daemons report their requests to each other, so that the load
 	// of a server is the sum over all daemons instead of an estimate from its reports.
 	SharedLoads bool
+	// QueueForCache lets a prompt queue at a server that holds a part of it, behind as much reading as that
+	// part saves, and counts the home of a shared prefix as holding it. Otherwise such a server counts as
+	// full like any other, and the part is read again elsewhere.
+	QueueForCache bool
 }
 
 const (
@@ -228,7 +232,7 @@
 	cached := 0.0
 	switch {
 	case len(call.Parts) > 0:
-		cached = r.residentTokens(call.Parts, st)
+		cached = max(r.residentTokens(call.Parts, st), r.homeTokens(call, server))
 	case !call.Plain:
 		cached = r.believedCachedTokens(now, call, st)
 		r.countPrefixCall(now, call)
