--- a/internal/gateway/rollouts_test.go
+++ b/internal/gateway/rollouts_test.go
@@ -29,8 +29,11 @@
 
 func (rolloutDocuments) Phase(status []byte) (string, rollout.Phase, error) {
 	var list []string
-	if err := json.Unmarshal(status, &list); err != nil || len(list) != 2 {
-		return "", "", fmt.Errorf("status %q: %v", status, err)
+	if err := json.Unmarshal(status, &list); err != nil {
+		return "", "", err
+	}
+	if len(list) != 2 {
+		return "", "", fmt.Errorf("status %q", status)
 	}
 	return list[0], rollout.Phase(list[1]), nil
 }
@@ -189,7 +192,9 @@
 	waitFor(t, "the rollout is rolled back", func() bool { return env.status() == rollout.RolledBack })
 	env.stop()
 	a.cancel()
-	<-a.ended
+	if err := <-a.ended; err != nil {
+		t.Error(err)
+	}
 	a.ended <- nil
 	b := env.startReady("b")
 	before := env.toNew.Load()
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -29,7 +29,9 @@
 	go func() { served <- s.Serve(g.Listener(l)) }()
 	t.Cleanup(func() {
 		_ = s.Close() // The test is over.
-		<-served
+		if err := <-served; !errors.Is(err, http.ErrServerClosed) {
+			t.Error(err)
+		}
 	})
 	return l.Addr().String()
 }
