gateway: a completed rollout does not stop the servers of a later release

Cause: a daemon that learned of a rollout only when it was completed marked all servers of other versions as leaving, and told its peers. The order stays in the store, so that a release after it brings such servers. Found by reading.

Change: only a daemon that has known the rollout in progress marks them, and only those that started within its time.

--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -90,7 +90,7 @@
 	c.changed = true
 	c.g.Log.Info("rollout", "Service", service, "Version", after.Version, "Phase", after.Phase, "Stage", after.Stage,
 		"Share", after.Share(c.g.rolloutExposure()), "Reason", after.Reason, "Source", source, "Since", now.Sub(after.NoticedAt).Milliseconds())
-	if after.Phase == rollout.Completed && before.Phase != rollout.Completed {
+	if after.Phase == rollout.Completed && before.Phase == rollout.InProgress {
 		c.leaveOldVersions(now, after)
 	}
 }
@@ -103,11 +103,12 @@
 }
 
 // leaveOldVersions marks the servers of other versions as leaving: they are stopped once the rollout is
-// reported as completed.
+// reported as completed. Servers that started later are those of a release after it.
 func (c *control) leaveOldVersions(now time.Time, s rollout.State) {
 	var old []fleet.Incarnation
 	for _, m := range c.fleet.Members() {
-		if m.Service == s.Service && m.Version != s.Version {
+		startedBefore := m.Incarnation <= s.NoticedAt.Add(s.Within).UnixMilli()
+		if m.Service == s.Service && m.Version != s.Version && startedBefore {
 			old = append(old, fleet.Incarnation{ID: m.ID, Start: m.Incarnation})
 		}
 	}
--- a/internal/gateway/rollouts_test.go
+++ b/internal/gateway/rollouts_test.go
@@ -222,3 +222,25 @@
 		t.Errorf("%d requests reached the version whose order was removed", after-before)
 	}
 }
+
+// A release after a completed rollout brings servers of a third version, and the order is still in the store. A
+// daemon that has not known the rollout learns of its end from a peer.
+func TestCompletedRolloutDoesNotStopALaterRelease(t *testing.T) {
+	env := newRolloutEnv(t)
+	env.store.setFailures(false, true) // Watches return nothing.
+	a := env.startReady("a")
+	env.order(4 * time.Second)
+	env.store.set("statuses/plain", []string{"v2", string(rollout.Completed)})
+	b := env.startReady("b")
+	for _, gw := range []*testGateway{a, b} {
+		waitFor(t, "the daemon knows the rollout", func() bool {
+			r, ok := gw.view.Load().rollouts["plain"]
+			return ok && r.Phase == rollout.Completed
+		})
+	}
+	for range 20 {
+		if r := a.send(t.Context(), "GET", "/safe/a"); r.body != "v1" {
+			t.Fatalf("status %d, body %q, error %v", r.status, r.body, r.err)
+		}
+	}
+}
