rollout: bound the stages of peers; an overload at the end blames no version

Cause: found by reading. A peer's message could name any stage, and a verdict reads the counts of each. At the last stage, where the other versions get no requests, slow answers were compared with those of the first stage; and a mere suspicion there ended in a roll-back at the deadline.

Change: stages are limited, slow answers count only beside others at the same stage, and a suspicion no longer holds up a version that has all requests.

--- a/internal/rollout/advance.go
+++ b/internal/rollout/advance.go
@@ -62,7 +62,7 @@
 	case servers.Old == 0 && servers.OldRequests == 0:
 		next.Phase, next.Reason = Completed, "no server of another version"
 		return next, true
-	case v.Worse == Suspected:
+	case v.Worse == Suspected && s.Stage < lastStage: // With all requests, a bad version is soon certain.
 		if elapsed > s.Within {
 			next.Phase, next.Reason = RolledBack, "not shown to be good in time: "+v.Reason
 			return next, true
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -281,9 +281,9 @@
 			}
 			measures["failures"].add(sample{t.New.Failed, t.New.Answers}, sample{t.Old.Failed, t.Old.Answers}, sample{base.Old.Failed, base.Old.Answers}, failedMargin)
 			from := base.Old.First.median() + slowBuckets
-			measures["slow first events"].add(t.New.First.sample(from), t.Old.First.sample(from), base.Old.First.sample(from), slow)
+			measures["slow first events"].addConcurrent(t.New.First.sample(from), t.Old.First.sample(from), slow)
 			from = base.Old.Pace.median() + slowBuckets
-			measures["slow events"].add(t.New.Pace.sample(from), t.Old.Pace.sample(from), base.Old.Pace.sample(from), slow)
+			measures["slow events"].addConcurrent(t.New.Pace.sample(from), t.Old.Pace.sample(from), slow)
 		}
 		for _, name := range slices.Sorted(maps.Keys(measures)) {
 			v.note(fmt.Sprintf("%s on route %q", name, route), *measures[name])
@@ -320,10 +320,23 @@
 	expected      float64
 }
 
+// addConcurrent adds the samples of one stage, unless the other versions got too few requests at it to compare
+// with: an overload makes all versions slow.
+func (c *comparison) addConcurrent(fresh, others sample, margin float64) {
+	if enoughOthers(fresh, others) {
+		c.add(fresh, others, others, margin)
+	}
+}
+
+// enoughOthers reports whether the other versions got enough requests at the stage of the new one.
+func enoughOthers(fresh, others sample) bool {
+	return others.of >= minOthers && others.of >= fresh.of/4
+}
+
 // add adds the samples of one stage. base is that of the other versions at the first stage.
 func (c *comparison) add(fresh, others, base sample, margin float64) {
 	reference := others
-	if others.of < minOthers || others.of < fresh.of/4 {
+	if !enoughOthers(fresh, others) {
 		reference, margin = base, margin+staleMargin
 	}
 	if fresh.of == 0 || reference.of < minOthers {
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -107,6 +107,7 @@
 	if s.states == nil {
 		s.states = map[string]State{}
 	}
+	other.Stage = max(0, min(other.Stage, lastStage)) // A peer may send any number.
 	st, known := s.states[other.Service]
 	switch {
 	case !known, other.isNewer(st.Order) && !other.repeats(st.Order):
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -194,7 +194,13 @@
 		"cold caches":    {failed: never, slow: never, cold: 1},
 		"failing routes": {failed: func(bool, string, float64, time.Duration) float64 { return 0.14 }, slow: never},
 		"overload":       {failed: burst(0.3), slow: burst(0.6), cold: 0.5},
-		"few requests":   {failed: never, slow: never, perSecond: 20},
+		"overload at the end": {failed: never, slow: func(_ bool, _ string, _ float64, at time.Duration) float64 {
+			if at > 8*time.Second {
+				return 0.6
+			}
+			return 0.01
+		}},
+		"few requests": {failed: never, slow: never, perSecond: 20},
 	}
 	const seeds, mostWrong = 200, 2 // An error rate of one percent.
 	for name, l := range tests {
@@ -253,6 +259,16 @@
 	}
 }
 
+func TestStageOfAPeerIsBounded(t *testing.T) {
+	for _, stage := range []int{-1, 1 << 40} {
+		var s Set
+		s.Merge(State{Order: Order{Service: "s", Version: "v2", Within: within}, NoticedAt: orderedAt, Phase: InProgress, Stage: stage})
+		if got, _ := s.Of("s"); got.Stage < 0 || got.Stage > lastStage {
+			t.Errorf("stage %d became %d", stage, got.Stage)
+		}
+	}
+}
+
 func TestEngagedServersAreThoseOfASmallerShareToo(t *testing.T) {
 	servers := []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j"}
 	few, many := Engaged("v", servers, 0.05), Engaged("v", servers, 0.15)
