--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -50,8 +50,8 @@
 	MaxBytes int64
 	// MaxConnections bounds the connections of all listeners together; 0 means 4,096.
 	MaxConnections int
-	// OnClosed is told at most once a second of a connection that was closed, with how many were since the
-	// last time. It must not block, and may be nil.
+	// OnClosed is called at most once a second for a connection that was closed, with the number closed since
+	// the last call. It must not block, and may be nil.
 	OnClosed func(source, reason string, closed int64)
 
 	held budget.Budget
