engine: tokens are timed as they arrive, not as a slow reader takes them

Cause: tokens were read, timed and passed on in one goroutine. While onToken held a token up (a loaded machine, a peer's link), the next ones waited in the connection, and a silence in that time was not seen; the wait began when the reader was done.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -92,19 +92,7 @@
 	if onStart != nil {
 		onStart(headerLoad(res.Header))
 	}
-	return readTokens(res.Body, afterToken, func(t Token) error {
-		// A token can be read after the timer has fired, or before the timer runs if
-		// the process was suspended.
-		if !idleTimer.Stop() || time.Since(waitingSince) > idle {
-			return errors.Annotatef(ErrBroken, "token %d came after the idle timeout of %v", t.Number, idle)
-		}
-		if err := onToken(t); err != nil {
-			return err
-		}
-		waitingSince = time.Now()
-		idleTimer.Reset(idle)
-		return nil
-	})
+	return relayTokens(res.Body, afterToken, arrivalClock{idle: idle, since: waitingSince, timer: idleTimer}, cancel, onToken)
 }
 
 // headerLoad reads the engine's load from the response headers of a stream.
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -129,6 +129,28 @@
 	}
 }
 
+// Guards against output after a silence that falls into the time of a slow reader.
+func TestSlowReaderHidesNoSilence(t *testing.T) {
+	const idle = 200 * time.Millisecond
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, chunk("1", "a", "null"))
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(2 * idle)
+		_, _ = io.WriteString(w, chunk("2", "late", `"stop"`)+"data: [DONE]\n\n")
+	}))
+	defer s.Close()
+	c := &engine.Client{IdleTimeout: idle}
+	var got []engine.Token
+	err := c.Stream(t.Context(), strings.TrimPrefix(s.URL, "http://"), engine.Request{Body: []byte("{}")}, func(k engine.Token) error {
+		got = append(got, k)
+		time.Sleep(3 * idle)
+		return nil
+	})
+	if len(got) != 1 || !errors.Is(err, engine.ErrBroken) {
+		t.Errorf("%v and %v, want one token and %v", got, err, engine.ErrBroken)
+	}
+}
+
 // Guards against commands of a former lease holder after a new one has taken over:
 // an engine that checks fencing numbers refuses the lower number.
 func TestOldFencingNumberIsRefused(t *testing.T) {
