--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -189,6 +189,8 @@
 	Queue  admission.Stats
 	// Parked counts the dequeued requests that wait for a server.
 	Parked int
+	// Busyness is how busy the region's servers are with reading prompts, as of the last decision: 0 to 1.
+	Busyness float64
 	// RetriesLeft is the unused part of the retry budget of the service that has the least left.
 	RetriesLeft float64
 	// InFlight counts the running requests by server.
@@ -201,7 +203,7 @@
 func (d *Dispatcher) Status(now time.Time) Status {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	s := Status{Counts: d.counts, Queue: d.Queue.Stats(now), Parked: len(d.parked), RetriesLeft: d.retryBudgets.leastRemaining(), InFlight: map[string]int{}}
+	s := Status{Counts: d.counts, Queue: d.Queue.Stats(now), Parked: len(d.parked), Busyness: d.Router.Busyness(), RetriesLeft: d.retryBudgets.leastRemaining(), InFlight: map[string]int{}}
 	if d.Evidence != nil {
 		s.Suspects, s.RefusedSuspects = d.Evidence.Len(), len(d.Evidence.Refused(now))
 	}
--- a/internal/engine/relay.go
+++ b/internal/engine/relay.go
@@ -61,7 +61,7 @@
 		if err := onToken(t); err != nil {
 			close(stopped)
 			cancel()
-			<-end // The body is not read after the return.
+			_ = <-end // The body is not read after the return.
 			return err
 		}
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -236,6 +236,7 @@
 	defer stopOnDrain()
 	s.attemptsSent++
 	s.logRouting(grant)
+	s.times.sent(time.Now(), &grant, s.call.PromptTokens)
 	s.trial = s.beginTrial(now, server, grant.Decision.Terms.Wait, grant.Decision.CachedTokens)
 	g.demand.addSentPrompt(s.service, &s.call, grant.Decision.CachedTokens)
 	req := s.backendRequest(server, remaining)
@@ -442,7 +443,7 @@
 	d, t := grant.Decision, grant.Decision.Terms
 	s.g.Log.Info("routing decision", logs.RequestID, s.call.ID, "Attempt", s.attemptsSent, "Server", grant.Server.ID,
 		"Version", grant.Server.Version, "LastEvent", s.stream.lastEventID, "Resumes", s.call.Resumes, "ServerPlace", grant.Server.Place, "Reason", d.Reason, "Waited", time.Since(s.received).Milliseconds(),
-		"Score", d.Score, "Wait", t.Wait, "Prefill", t.Prefill, "CachedTokens", d.CachedTokens, "PromptTokens", s.call.PromptTokens)
+		"Score", d.Score, "Wait", t.Wait, "Prefill", t.Prefill, "CachedTokens", d.CachedTokens, "Busyness", d.Busyness, "PromptTokens", s.call.PromptTokens)
 }
 
 func (s *session) logAttempt(server routing.Server, ending dispatch.Ending, err error) {
--- a/internal/gateway/measures.go
+++ b/internal/gateway/measures.go
@@ -28,14 +28,22 @@
 	mu              sync.Mutex
 	outcomes        map[string]metrics.Histogram
 	firstEventTimes metrics.Histogram
+	// predictionErrors holds by how much first events came later than predicted.
+	predictionErrors metrics.Histogram
 }
 
 func newRequestMetrics(r metrics.Registry) *requestMetrics {
 	m := &requestMetrics{registry: r, outcomes: map[string]metrics.Histogram{}}
 	m.firstEventTimes = metrics.GetOrRegisterHistogram("requests.first", r, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+	m.predictionErrors = metrics.GetOrRegisterHistogram("requests.first.error", r, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
 	return m
 }
 
+// recordAims counts a whole stream by the aims of its route.
+func (m *requestMetrics) recordAims(rank int, result string) {
+	metrics.GetOrRegisterCounter(fmt.Sprintf("aims.%s.%d", result, rank), m.registry).Inc(1)
+}
+
 // recordOutcome records the duration of a request under its outcome.
 func (m *requestMetrics) recordOutcome(outcome string, took time.Duration) {
 	m.mu.Lock()
@@ -48,9 +56,11 @@
 	h.Update(took.Milliseconds())
 }
 
-// recordFirstEvent records the time to the first event of a stream.
-func (m *requestMetrics) recordFirstEvent(took time.Duration) {
+// recordFirstEvent records the time to the first event of a stream, and by how much it was later
+// than predicted.
+func (m *requestMetrics) recordFirstEvent(took, late time.Duration) {
 	m.firstEventTimes.Update(took.Milliseconds())
+	m.predictionErrors.Update(late.Milliseconds())
 }
 
 // ServeMetrics writes all metrics as text, one value a line.
@@ -95,6 +105,7 @@
 	value("dispatch.retried", status.Counts.Retried)
 	value("dispatch.refused", status.Counts.Refused)
 	value("dispatch.parked", status.Parked)
+	value("dispatch.busyness", status.Busyness)
 	value("dispatch.retries.left", status.RetriesLeft)
 	value("store.era", g.Store.Era())
 	value("quarantine.suspects", status.Suspects)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -200,7 +200,7 @@
 		s.g.dispatcher.RequireVersion(s.call.ID, s.stream.version)
 		s.g.begun.note(now, origin.StreamOf(s.began), s.stream.version, s.g.forwardsBegun())
 		s.g.dispatcher.FirstToken(now, s.call.ID)
-		s.g.requestMetrics.recordFirstEvent(now.Sub(s.received))
+		s.g.requestMetrics.recordFirstEvent(now.Sub(s.received), now.Sub(s.times.predictedAt))
 		s.countUsage()
 	}
 	if _, err := s.w.Write(events); err != nil {
@@ -213,6 +213,7 @@
 		s.stream.lastEventID = last
 	}
 	s.stream.eventCount += count
+	s.times.wrote(now)
 	s.trial.arrived(now, count)
 	s.g.dispatcher.Progress(s.call.ID, s.stream.eventCount)
 	return nil
@@ -307,5 +308,8 @@
 	res.Close() // The end of the attempt's context would close the connection, which can be reused.
 	s.trial.streamed()
 	s.reportFinished()
+	if s.stream.eventCount > 0 {
+		s.g.requestMetrics.recordAims(min(max(s.rank, 0), rankCount-1), s.times.result(s.route, s.received))
+	}
 	s.logEnd(logs.Answered, res.Status, server.ID)
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -135,6 +135,7 @@
 	began   string
 	version *string
 	stream  streamState
+	times   answerTimes
 	// trial observes the present attempt during a rollout of its service.
 	trial *attemptTrial
 }
@@ -425,7 +426,7 @@
 	s.g.requestMetrics.recordOutcome(outcome, took)
 	s.g.Log.Info(logs.RequestEnded, logs.RequestID, s.call.ID, "Route", name, "Service", s.service, "Organisation", s.organisation(),
 		"Rank", s.rank, "Allowed", s.deadline.Sub(s.received).Milliseconds(), logs.Outcome, outcome, "Status", status, "Detail", detail, "Took", took.Milliseconds(), "Sent", s.attemptsSent,
-		"Ran", s.mayHaveRun, "Events", s.stream.eventCount, "Charged", s.quotaCharged, "Fingerprint", s.fingerprintText())
+		"Ran", s.mayHaveRun, "Events", s.stream.eventCount, "First", s.times.first(s.received).Milliseconds(), "Gap", s.times.longestGap.Milliseconds(), "Charged", s.quotaCharged, "Fingerprint", s.fingerprintText())
 }
 
 // fingerprintText returns the fingerprint in hexadecimal, or an empty string for a request
--- a/internal/routing/busy.go
+++ b/internal/routing/busy.go
@@ -37,3 +37,6 @@
 	missing := sharedTokens(sc.call.Parts) - cached
 	return sc.busyness >= 1 && prefillSeconds(sc.table.servers[i].PrefillTokensPerSecond, missing) > negligibleReadSeconds
 }
+
+// Busyness returns how busy the region's servers are with reading prompts, as of the last decision: 0 to 1.
+func (r *Router) Busyness() float64 { return r.busyness }
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -124,6 +124,8 @@
 	Reason     string
 	// CachedTokens is the expected number of prompt tokens in the server's cache.
 	CachedTokens float64
+	// Busyness is how busy the servers of the call's region are with reading prompts, from 0 to 1.
+	Busyness float64
 	// Rejected is complete only when every server was examined, as is always the case
 	// when Server is empty.
 	Rejected Rejected
--- a/internal/routing/parts.go
+++ b/internal/routing/parts.go
@@ -359,6 +359,7 @@
 func (r *Router) chooseByParts(now time.Time, call *Call, t *Table, servers []int) Decision {
 	sc := r.newScorer(now, call, t)
 	sc.busyness = r.regionBusyness(now, call, t, servers)
+	r.busyness = sc.busyness
 	var rejected Rejected
 	best := [kindCount]candidate{noCandidate, noCandidate, noCandidate, noCandidate, noCandidate}
 	considered := 0
@@ -400,6 +401,6 @@
 		}
 	}
 	d := sc.decision(chosen, considered)
-	d.Rejected = rejected
+	d.Rejected, d.Busyness = rejected, sc.busyness
 	return d
 }
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -130,6 +130,8 @@
 	tableStates []*serverState
 	// preferPlace ranks servers in a call's own place before all others.
 	preferPlace bool
+	// busyness is that of the last decision on a prompt with parts.
+	busyness float64
 	// regionOfServer holds the region of each server; placesPerRegion counts the places
 	// with servers in each region.
 	regionOfServer  map[string]string
