engine: the end of the reading is told by the closed channel

Cause: the linter found the wait for the reader's end written as an unused receive. Change: the error is kept beside the channel, whose end tells that it is set.

--- a/internal/engine/relay.go
+++ b/internal/engine/relay.go
@@ -40,11 +40,11 @@
 // read as they arrive, apart from onToken: if a slow reader delayed the reading, a
 // silence of the engine in that time would go unseen. cancel ends the reading.
 func relayTokens(body io.Reader, afterToken int, clock arrivalClock, cancel func(), onToken func(Token) error) error {
-	tokens, end := make(chan Token, maxUnreadTokens), make(chan error, 1)
-	stopped := make(chan struct{})
+	tokens, stopped := make(chan Token, maxUnreadTokens), make(chan struct{})
+	var readErr error // Written before tokens is closed.
 	go func() {
 		defer close(tokens)
-		end <- readTokens(body, afterToken, func(t Token) error {
+		readErr = readTokens(body, afterToken, func(t Token) error {
 			if err := clock.arrived(t); err != nil {
 				return err
 			}
@@ -61,9 +61,10 @@
 		if err := onToken(t); err != nil {
 			close(stopped)
 			cancel()
-			_ = <-end // The body is not read after the return.
+			for range tokens { // The body is not read after the return.
+			}
 			return err
 		}
 	}
-	return <-end
+	return readErr
 }
