routing: the home of a very long prompt has room in a busy region

Cause: a home is assumed to hold 95% of a shared part. Of a part of 51,000 tokens or more the rest takes over 50 ms to read, so that in a busy region the home counted as full like the servers that hold nothing.

Change: a server is compared with what a home is assumed to hold.

Measured: TestHomeOfLongPromptHasRoomInBusyRegion failed before.

--- a/internal/routing/busy.go
+++ b/internal/routing/busy.go
@@ -32,9 +32,10 @@
 	return min(queued/float64(count)/busyBacklogSeconds, 1)
 }
 
-// readsAgainWhenBusy reports whether a server would read the shared part of a prompt again in a busy region.
+// readsAgainWhenBusy reports whether a server would read more of the shared part of a prompt again than its home, in a
+// busy region.
 func (sc *scorer) readsAgainWhenBusy(i int, cached float64) bool {
-	missing := sharedTokens(sc.call.Parts) - cached
+	missing := regionHomeCachedShare*sharedTokens(sc.call.Parts) - cached
 	return sc.busyness >= 1 && prefillSeconds(sc.table.servers[i].PrefillTokensPerSecond, missing) > negligibleReadSeconds
 }
 
--- a/internal/routing/parts_test.go
+++ b/internal/routing/parts_test.go
@@ -201,3 +201,21 @@
 		t.Errorf("%d shared tokens prefilled, want at most half of the %d with separate places", regional, separate)
 	}
 }
+
+// Guards against a home that counts as full in a busy region because of the small part of a long prompt that is not
+// assumed to be there.
+func TestHomeOfLongPromptHasRoomInBusyRegion(t *testing.T) {
+	r, table := New(Options{SharedLoads: true, MaxBacklog: 250 * time.Millisecond, QueueForCache: true, ReadOnceWhenBusy: true}), partsTable(12)
+	r.PreferPlace(true)
+	now, random := time.Unix(1_700_000_000, 0), rand.New(rand.NewPCG(1, 2))
+	r.SetTable(table)
+	var loads []ServerLoad
+	for i := range 12 {
+		loads = append(loads, ServerLoad{Server: fmt.Sprintf("s%d", i), Running: 3, Pending: 6000})
+	}
+	r.SetPeerLoads(now, "other", loads)
+	d := r.Choose(now, partsCall("long", promptParts(1, 80_000, 500, 1)), table, random)
+	if d.Busyness < 1 || d.Reason != ReasonHome {
+		t.Errorf("busyness %v, %v, want a busy region and its home", d.Busyness, d)
+	}
+}
