gateway: log and count what the version of a stream that is taken up was concluded from

Change: a line "stream taken up" with the basis, the versions that the daemon knows and the age of its list, and a counter for each basis. No decision changes.

--- a/internal/gateway/begun.go
+++ b/internal/gateway/begun.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"apricotbridge/internal/logs"
 	"apricotbridge/internal/message"
 	"apricotbridge/internal/origin"
 	"apricotbridge/internal/route"
@@ -225,19 +226,31 @@
 	b.suppliedAt = now
 }
 
+// versionBasis is what the version of a stream was concluded from.
+type versionBasis string
+
+const (
+	// basisStream means that the stream itself is known.
+	basisStream versionBasis = "Stream"
+	// basisOnlyVersion means that the service has one version.
+	basisOnlyVersion versionBasis = "OnlyVersion"
+	// basisNone means that the version is not known.
+	basisNone versionBasis = "None"
+)
+
 // versionOf returns the version at which a stream of a service began. A stream that is not known began at the
 // only version of the service, if there has been no other for as long as a stream may be taken up.
-func (b *begunStreams) versionOf(now time.Time, stream origin.Stream, service string) (string, bool) {
+func (b *begunStreams) versionOf(now time.Time, stream origin.Stream, service string) (string, versionBasis) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if version, ok := b.streams.Version(now, stream); ok {
-		return version, true
+		return version, basisStream
 	}
 	known := b.recordsRead || now.Sub(b.startedAt) >= b.versions.Memory
 	if versions := b.versions.Of(now, service); known && len(versions) == 1 {
-		return versions[0], true
+		return versions[0], basisOnlyVersion
 	}
-	return "", false
+	return "", basisNone
 }
 
 func encodeBegun(byVersion map[string][]origin.Stream) []message.BegunStreams {
@@ -268,8 +281,9 @@
 	if s.call.Resumes != "" {
 		s.began = s.call.Resumes
 	}
-	version, ok := s.g.begun.versionOf(s.received, origin.StreamOf(s.began), s.service)
-	if !ok {
+	version, basis := s.g.begun.versionOf(s.received, origin.StreamOf(s.began), s.service)
+	s.logTakeUp(version, basis)
+	if basis == basisNone {
 		p := problem.New(problem.NoCapacity, "version at which stream %q began is not known", s.began)
 		p.RetryAfter = jitter(unknownVersionRetryAfter)
 		return p
@@ -278,6 +292,12 @@
 	return nil
 }
 
+func (s *session) logTakeUp(version string, basis versionBasis) {
+	s.g.requestMetrics.recordTakeUp(basis)
+	s.g.Log.Info("stream taken up", logs.RequestID, s.call.ID, "Began", s.began, "LastEvent", s.call.LastEventID, "Service", s.service,
+		"Version", version, "Basis", basis, "Known", s.g.begun.versionsOfServices(s.received)[s.service], "ServersAge", s.g.serversAge(s.received).Milliseconds())
+}
+
 // unknownVersionRetryAfter is the Retry-After of a stream whose version is not known here. Another daemon may
 // know it, or a peer may still send it.
 const unknownVersionRetryAfter = 500 * time.Millisecond
--- a/internal/gateway/measures.go
+++ b/internal/gateway/measures.go
@@ -44,6 +44,11 @@
 	metrics.GetOrRegisterCounter(fmt.Sprintf("aims.%s.%d", result, rank), m.registry).Inc(1)
 }
 
+// recordTakeUp counts a stream that a caller takes up by what its version was concluded from.
+func (m *requestMetrics) recordTakeUp(basis versionBasis) {
+	metrics.GetOrRegisterCounter("takeups."+string(basis), m.registry).Inc(1)
+}
+
 // recordOutcome records the duration of a request under its outcome.
 func (m *requestMetrics) recordOutcome(outcome string, took time.Duration) {
 	m.mu.Lock()
@@ -113,8 +118,8 @@
 	if c := g.view.Load().Configuration(); c != nil {
 		value("configuration.version", c.Version)
 	}
-	if lastRead := g.storeReadAt.Load(); lastRead != nil {
-		value("store.age.milliseconds", now.Sub(*lastRead).Milliseconds())
+	if g.storeReadAt.Load() != nil {
+		value("store.age.milliseconds", g.serversAge(now).Milliseconds())
 	}
 	held := 0
 	if g.holdsDuty.Load() {
--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -146,6 +146,15 @@
 	return lastRead.Add(g.pollInterval() + g.view.Load().pollDelay(g.Daemon))
 }
 
+// serversAge is how long ago this daemon, or a peer that sent it a listing, read the store; 0 means never.
+func (g *Gateway) serversAge(now time.Time) time.Duration {
+	lastRead := g.storeReadAt.Load()
+	if lastRead == nil {
+		return 0
+	}
+	return now.Sub(*lastRead)
+}
+
 // pollDelay returns how much longer this daemon waits than the one that reads first. With
 // links by place, delegates read first: only they receive listings from other places
 // directly.
