gateway: the version of an unknown stream is concluded only from records read after the take-up

Cause: a daemon that did not know a stream took the only version that it knew for the stream's. That is a conclusion from absence, and it holds only while the daemon's knowledge is up to date, which it can't tell itself. Not even a current list of servers is enough: the servers of the version may have left again.

Change: a version of a service is recorded in the store before its first stream begins; routing gives streams only to servers of recorded versions. The version of a stream that is not known is concluded only from the records as read after the request came; one read serves all requests that wait for it. If the service has several versions, the records of begun streams are read too (full mesh). Without an answer of the store the take-up is refused with a time to come back. Listings carry the records, so that a daemon that does not reach the store learns of them.

Why it works: a stream begins after its version's record was acknowledged, and the read begins after the stream broke off, so that the linearizable store returns a record with the version, whatever the daemon has missed.

--- a/internal/gateway/begun.go
+++ b/internal/gateway/begun.go
@@ -6,11 +6,9 @@
 	"sync"
 	"time"
 
-	"apricotbridge/internal/logs"
 	"apricotbridge/internal/message"
 	"apricotbridge/internal/origin"
 	"apricotbridge/internal/route"
-	"apricotbridge/pkg/problem"
 )
 
 const (
@@ -27,6 +25,8 @@
 	mu       sync.Mutex
 	streams  origin.Set
 	versions origin.Versions
+	// present has the versions of the servers that are listed now, by service.
+	present map[string][]string
 	// own has those of streams that began at this daemon.
 	own origin.Set
 	// near and far hold the streams that were not yet sent to peers in this place and in other places.
@@ -35,8 +35,8 @@
 	// startedAt is when this daemon started, and suppliedAt when a peer sent all streams that it knew; zero
 	// means not yet.
 	startedAt, suppliedAt time.Time
-	// recordsRead means that versions has those that the services had before this daemon started.
-	recordsRead bool
+	// records has the versions that are recorded in the store.
+	records origin.Records
 	// unrecorded counts the streams that were noted since the record in the store was written: for a record of
 	// all (true), and of those that began here (false).
 	unrecorded map[bool]int
@@ -71,25 +71,80 @@
 func (b *begunStreams) noteServers(now time.Time, c *control) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.present = map[string][]string{}
 	for _, m := range c.fleet.Members() {
 		b.versions.Note(now, m.Service, m.Version)
+		if !slices.Contains(b.present[m.Service], m.Version) {
+			b.present[m.Service] = append(b.present[m.Service], m.Version)
+		}
 	}
 }
 
-// noteVersions records versions that a service had.
-func (b *begunStreams) noteVersions(now time.Time, service string, versions []string) {
+// noteRecord notes the record of the versions of a service and reports whether it is newer than the one that was
+// known. Versions that it adds count as seen now: this daemon may have missed their servers.
+func (b *begunStreams) noteRecord(now time.Time, service string, r origin.Record) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, v := range versions {
-		b.versions.Note(now, service, v)
+	before := b.records.Of(service)
+	if !b.records.Note(service, r) {
+		return false
+	}
+	for _, v := range r.Versions {
+		if !slices.Contains(before.Versions, v) {
+			b.versions.Note(now, service, v)
+		}
 	}
+	return true
+}
+
+// isRecorded reports whether a version of a service is recorded in the store.
+func (b *begunStreams) isRecorded(service, version string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.records.Has(service, version)
 }
 
-// noteRecordsRead records that the records of versions in the store were read.
-func (b *begunStreams) noteRecordsRead() {
+// lacksRecord reports whether a listed server has a version that is not recorded.
+func (b *begunStreams) lacksRecord() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.recordsRead = true
+	for service, versions := range b.present {
+		for _, v := range versions {
+			if !b.records.Has(service, v) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// versionsToRecord is the next record of a service, which replaces the one of a revision.
+type versionsToRecord struct {
+	revision int64
+	versions []string
+}
+
+// versionsToRecord returns the records that lack a version of a listed server. With removal, they also keep the
+// versions that a service had until lately, and no others.
+func (b *begunStreams) versionsToRecord(now time.Time, removal bool) map[string]versionsToRecord {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	services := map[string]versionsToRecord{}
+	for _, service := range b.versions.Services() {
+		record := b.records.Of(service)
+		next := slices.Clone(b.present[service])
+		if removal {
+			next = append(next, b.versions.Of(now, service)...)
+		} else {
+			next = append(next, record.Versions...)
+		}
+		slices.Sort(next)
+		next = slices.Compact(next)
+		if len(next) > 0 && !slices.Equal(record.Versions, next) {
+			services[service] = versionsToRecord{record.Revision, next}
+		}
+	}
+	return services
 }
 
 // versionsOfServices returns the versions of each service, sorted.
@@ -226,31 +281,18 @@
 	b.suppliedAt = now
 }
 
-// versionBasis is what the version of a stream was concluded from.
-type versionBasis string
-
-const (
-	// basisStream means that the stream itself is known.
-	basisStream versionBasis = "Stream"
-	// basisOnlyVersion means that the service has one version.
-	basisOnlyVersion versionBasis = "OnlyVersion"
-	// basisNone means that the version is not known.
-	basisNone versionBasis = "None"
-)
+// versionOf returns the version at which a stream began, if the stream is known.
+func (b *begunStreams) versionOf(now time.Time, stream origin.Stream) (string, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.streams.Version(now, stream)
+}
 
-// versionOf returns the version at which a stream of a service began. A stream that is not known began at the
-// only version of the service, if there has been no other for as long as a stream may be taken up.
-func (b *begunStreams) versionOf(now time.Time, stream origin.Stream, service string) (string, versionBasis) {
+// onlyVersionOf returns the only version of a service, according to a record that was just read.
+func (b *begunStreams) onlyVersionOf(now time.Time, service string, r origin.Record) (string, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if version, ok := b.streams.Version(now, stream); ok {
-		return version, basisStream
-	}
-	known := b.recordsRead || now.Sub(b.startedAt) >= b.versions.Memory
-	if versions := b.versions.Of(now, service); known && len(versions) == 1 {
-		return versions[0], basisOnlyVersion
-	}
-	return "", basisNone
+	return origin.OnlyVersion(r, b.versions.Of(now, service))
 }
 
 func encodeBegun(byVersion map[string][]origin.Stream) []message.BegunStreams {
@@ -270,34 +312,3 @@
 	v := g.view.Load()
 	return v.byPlace() && v.Delegate
 }
-
-// requireVersion sets the version that the servers of a stream must have that the caller takes up. If it
-// is not known, the request is refused: servers of another version would write what does not fit.
-func (s *session) requireVersion() *problem.Problem {
-	s.began = s.call.ID
-	if !s.route.Stream || s.call.LastEventID == "" && s.call.Resumes == "" {
-		return nil
-	}
-	if s.call.Resumes != "" {
-		s.began = s.call.Resumes
-	}
-	version, basis := s.g.begun.versionOf(s.received, origin.StreamOf(s.began), s.service)
-	s.logTakeUp(version, basis)
-	if basis == basisNone {
-		p := problem.New(problem.NoCapacity, "version at which stream %q began is not known", s.began)
-		p.RetryAfter = jitter(unknownVersionRetryAfter)
-		return p
-	}
-	s.version = &version
-	return nil
-}
-
-func (s *session) logTakeUp(version string, basis versionBasis) {
-	s.g.requestMetrics.recordTakeUp(basis)
-	s.g.Log.Info("stream taken up", logs.RequestID, s.call.ID, "Began", s.began, "LastEvent", s.call.LastEventID, "Service", s.service,
-		"Version", version, "Basis", basis, "Known", s.g.begun.versionsOfServices(s.received)[s.service], "ServersAge", s.g.serversAge(s.received).Milliseconds())
-}
-
-// unknownVersionRetryAfter is the Retry-After of a stream whose version is not known here. Another daemon may
-// know it, or a peer may still send it.
-const unknownVersionRetryAfter = 500 * time.Millisecond
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -93,8 +93,10 @@
 	// serversListed means that the store's list of servers was read at least once, by this
 	// daemon or by a peer that sent it. entries holds the entries as of asOf, by key.
 	serversListed bool
-	entries       map[string]message.StoreEntry
-	asOf          storeMoment
+	// listedHere means that this daemon, not a peer, read the latest listing.
+	listedHere bool
+	entries    map[string]message.StoreEntry
+	asOf       storeMoment
 	// listed holds the changes of entries since keptFrom, for peers that missed them.
 	listed        []listedChange
 	keptFrom      storeMoment
@@ -345,6 +347,9 @@
 	v.table.SetShifts(shifts)
 	v.ByPlace, v.Delegate, v.Delegates = c.topology.ByPlace, c.topology.Delegate, c.topology.Delegates
 	c.g.begun.noteServers(now, c)
+	if c.g.begun.lacksRecord() {
+		c.g.versionsWanted(c.listedHere)
+	}
 	c.g.view.Store(v)
 	c.g.evidence.retain(v)
 	c.g.dispatcher.SetTable(now, v.table)
@@ -355,6 +360,7 @@
 	s := routing.Server{
 		ID: m.ID, Incarnation: m.Incarnation, Address: m.Address, Service: m.Service, Version: m.Version, Place: m.Place,
 		Region: c.g.Regions[m.Place], Slots: m.Slots, Accepting: m.Accepting(),
+		VersionRecorded: c.g.begun.isRecorded(m.Service, m.Version),
 	}
 	if q := c.suspects[m.ID]; q != nil && now.Before(q.until) {
 		s.Suspect = true
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -154,6 +154,9 @@
 
 	demand *demandTracker
 	begun  *begunStreams
+	// unrecorded wakes recordVersions; see versionsWanted.
+	unrecorded chan bool
+	checks     versionChecks
 
 	evidence rolloutEvidence
 
@@ -207,6 +210,7 @@
 	g.counts, g.clock = accounting.NewUsageCounter(), accounting.NewClock()
 	g.demand = newDemandTracker()
 	g.begun = newBegunStreams(time.Now())
+	g.unrecorded, g.checks.wake = make(chan bool, 1), make(chan struct{}, 1)
 	if g.Callers == nil {
 		g.Callers = &intake.Gate{}
 	}
@@ -273,6 +277,7 @@
 		{"suspects", g.watchSuspects},
 		{"suspect records", g.recordSuspects},
 		{"version records", g.recordVersions},
+		{"version checks", g.checkVersions},
 		{"stream records", g.recordStreams},
 		{"rollouts", g.watchRollouts},
 		{"duty", g.runDuty},
--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -43,6 +43,7 @@
 	if !c.noteEra(now, era) {
 		return
 	}
+	c.listedHere = true
 	first := !c.serversListed
 	if first {
 		c.serversListed, c.changed = true, true
@@ -129,6 +130,7 @@
 
 // sendListing sends a listing to the peers for which include returns true.
 func (c *control) sendListing(m message.Listing, include func(peerState) bool) {
+	m.Versions = c.g.begun.encodeVersions()
 	m.Rollouts = nil
 	for _, s := range c.rollouts.set.States() {
 		m.Rollouts = append(m.Rollouts, encodeRollout(time.Now(), s))
@@ -154,6 +156,8 @@
 // a daemon its first list, or replaces an older one; otherwise its entries are applied like changes.
 func (c *control) applyPeerListing(now time.Time, from message.Hello, m message.Listing) {
 	c.mergeRollouts(now, from.Daemon, m.Rollouts)
+	c.noteVersions(now, m.Versions)
+	c.listedHere = false
 	first := m.Complete && !c.serversListed
 	if first {
 		c.g.Log.Info("servers listed", "Source", from.Daemon, "Revision", m.Revision, "Servers", len(m.Changes))
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -333,7 +333,7 @@
 		Call: routing.Call{
 			RequestID: s.call.ID, Service: s.service, Rank: rank, Place: s.g.Place, Region: s.g.Region,
 			Parts: s.call.Parts, PromptTokens: s.call.PromptTokens, ExpectedTokens: s.call.expectedOutputTokens(), Plain: !s.engine,
-			Version: s.version,
+			Version: s.version, RequiresRecord: s.route.Stream,
 		},
 		Fingerprint: quarantine.FingerprintOf(s.organisation(), s.service, append([]byte(s.r.RequestURI+"\n"), s.body...)),
 	}
--- a/internal/gateway/stale_test.go
+++ b/internal/gateway/stale_test.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"apricotbridge/internal/keyvalue"
-	"apricotbridge/internal/origin"
 )
 
 // isolatedStore is the store as seen by a daemon without links to its peers. While it is stalled, calls wait,
@@ -20,6 +19,13 @@
 	mu      sync.Mutex
 	resumed chan struct{} // nil while calls are not stalled.
 	cut     bool          // Calls fail.
+	refused string        // Writes of keys with this prefix fail, unless it is empty.
+}
+
+func (s *isolatedStore) refuse(prefix string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refused = prefix
 }
 
 // stall makes calls wait until resume.
@@ -89,7 +95,13 @@
 	if err := s.wait(ctx); err != nil {
 		return keyvalue.Entry{}, err
 	}
-	if strings.HasPrefix(key, daemonPrefix) {
+	s.mu.Lock()
+	refused := s.refused != "" && strings.HasPrefix(key, s.refused)
+	s.mu.Unlock()
+	switch {
+	case refused:
+		return keyvalue.Entry{}, keyvalue.ErrUnavailable
+	case strings.HasPrefix(key, daemonPrefix):
 		return keyvalue.Entry{Key: key, Value: value, Revision: 1}, nil
 	}
 	return s.store.CompareAndSwap(ctx, key, value, revision, lease)
@@ -145,9 +157,8 @@
 			isolated := &isolatedStore{store: env.store}
 			env.gatewayStore = isolated
 			stale := env.startReady("g2")
-			waitFor(t, "a stream that is not known has a version", func() bool {
-				_, basis := stale.begun.versionOf(time.Now(), origin.StreamOf("other"), "model")
-				return basis == basisOnlyVersion
+			waitFor(t, "the daemon knows one version", func() bool {
+				return stale.begun.isRecorded("model", "v1") && len(stale.begun.versionsOfServices(time.Now())["model"]) == 1
 			})
 
 			isolated.stall()
@@ -173,3 +184,62 @@
 		})
 	}
 }
+
+// TestStaleDaemonTakesStreamsUp guards against refusing streams that began elsewhere when the store has their records.
+func TestStaleDaemonTakesStreamsUp(t *testing.T) {
+	env := newTestEnv(t)
+	env.addVersion("s1", "model", "v1", breakingStream())
+	current := env.startReady("g1")
+	waitFor(t, "the version is recorded", func() bool { return env.store.has(versionPrefix + "model") })
+	env.gatewayStore = &isolatedStore{store: env.store}
+	stale := env.startReady("g2")
+	newer := env.addVersion("s2", "model", "v2", breakingStream())
+	for _, gw := range []*testGateway{current, stale} {
+		waitFor(t, gw.Daemon+" has the new version", func() bool { return gw.accepting("s2") && gw.begun.isRecorded("model", "v2") })
+	}
+	for i := range 40 {
+		current.begin(t, fmt.Sprint("began", i))
+	}
+	time.Sleep(4 * streamRecordInterval)
+	streams := beganAt(newer)
+	for _, id := range streams {
+		if got := stale.takeUp(t, id); got.status != http.StatusOK || got.body != events(3, 8) {
+			t.Errorf("stream %s: got %+v", id, got)
+		}
+	}
+	if n := newer.continued(); n != len(streams) {
+		t.Errorf("%d of %d streams of v2 went on at v2", n, len(streams))
+	}
+}
+
+// TestVersionIsRecordedBeforeItsStreamsBegin guards against streams that began at a version of which a daemon can't learn from the store.
+func TestVersionIsRecordedBeforeItsStreamsBegin(t *testing.T) {
+	env := newTestEnv(t)
+	env.addVersion("s1", "model", "v1", breakingStream())
+	env.addVersion("p1", "plain", "v1", signedAnswer("v1"))
+	isolated := &isolatedStore{store: env.store}
+	env.gatewayStore = isolated
+	gw := env.startReady("g1")
+	waitFor(t, "the versions are recorded", func() bool { return gw.begun.isRecorded("model", "v1") && gw.begun.isRecorded("plain", "v1") })
+	isolated.refuse(versionPrefix)
+	newer := env.addVersion("s2", "model", "v2", breakingStream())
+	plain := env.addVersion("p2", "plain", "v2", signedAnswer("v2"))
+	waitFor(t, "the new version takes requests", func() bool { return gw.accepting("s2") && gw.accepting("p2") })
+	for i := range 20 {
+		gw.begin(t, fmt.Sprint("before", i))
+		if got := gw.send(t.Context(), http.MethodGet, "/safe/"); got.status != http.StatusOK {
+			t.Errorf("request of a plain service: got %+v", got)
+		}
+	}
+	if n := newer.requests(); n > 0 {
+		t.Errorf("%d streams began at a version that is not recorded", n)
+	}
+	if plain.requests() == 0 {
+		t.Error("no request without a stream was sent to the new version")
+	}
+	isolated.refuse("")
+	waitFor(t, "streams begin at the new version", func() bool {
+		gw.begin(t, fmt.Sprint("after", time.Now().UnixNano()))
+		return newer.requests() > 0
+	})
+}
--- a/internal/gateway/versions.go
+++ b/internal/gateway/versions.go
@@ -10,48 +10,70 @@
 	"github.com/juju/errors"
 
 	"apricotbridge/internal/keyvalue"
+	"apricotbridge/internal/message"
+	"apricotbridge/internal/origin"
 )
 
 // versionPrefix is the key prefix of the records of the versions of each service. They outlast the
 // daemons, so that one that starts after the loss of all knows which versions there were.
 const versionPrefix = "versions/"
 
-// maxRecordedVersions bounds the versions in one record.
-const maxRecordedVersions = 64
+const (
+	// maxRecordedVersions bounds the versions in one record.
+	maxRecordedVersions = 64
+	// recordDelay is how long a daemon that learned of a new version from a peer leaves it to the peer to
+	// record it.
+	recordDelay = 300 * time.Millisecond
+)
 
-// versionRecord is the record of a service in the store.
-type versionRecord struct {
-	revision int64
-	versions []string
+// versionsWanted asks recordVersions to record the versions of the servers, at once or after recordDelay.
+func (g *Gateway) versionsWanted(atOnce bool) {
+	select {
+	case g.unrecorded <- atOnce:
+	default: // One is pending.
+	}
 }
 
-// recordVersions reads which versions the services had before this daemon started, and keeps the records.
-// One daemon writes them: the versions change only in a release.
+// recordVersions reads the records of the versions that the services have, and keeps them. A version is recorded
+// as soon as its first server is listed: until then its servers get no streams.
 func (g *Gateway) recordVersions(ctx context.Context) error {
 	dep := dependency{g: g, name: "version records"}
 	retry := backoff{Most: maxWatchRetryDelay}
-	var recorded map[string]versionRecord
+	read := false
 	era := int64(0)
 	for ctx.Err() == nil {
 		var err error
-		if latest := g.Store.Era(); recorded == nil || latest != era {
+		switch latest := g.Store.Era(); {
+		case !read || latest != era:
 			era = latest
-			recorded, err = g.readVersions(ctx)
-		} else if g.view.Load().writesVersions(g.Daemon) {
-			err = g.writeVersions(ctx, recorded)
+			_, err = g.readVersions(ctx)
+			read = err == nil
+		default:
+			removal := g.view.Load().removesVersions(g.Daemon)
+			err = g.writeVersions(ctx, g.begun.versionsToRecord(time.Now(), removal))
 		}
 		dep.noteResult(err)
 		if wait := retry.next(err); err != nil {
 			sleep(ctx, wait)
 			continue
 		}
-		sleep(ctx, recordInterval)
+		interval := time.NewTimer(recordInterval)
+		select {
+		case atOnce := <-g.unrecorded:
+			if !atOnce {
+				sleep(ctx, jitter(recordDelay))
+			}
+		case <-interval.C:
+		case <-ctx.Done():
+		}
+		interval.Stop()
 	}
 	return nil
 }
 
-// writesVersions reports whether a daemon is the first of those that are alive.
-func (v *View) writesVersions(self string) bool {
+// removesVersions reports whether a daemon is the first of those that are alive. It removes the versions that
+// a service no longer has.
+func (v *View) removesVersions(self string) bool {
 	if v == nil || !v.daemonsListed || v.ByPlace && !v.Delegate {
 		return false
 	}
@@ -63,55 +85,91 @@
 	return true
 }
 
-// readVersions reads the records and notes their versions as seen now.
-func (g *Gateway) readVersions(ctx context.Context) (map[string]versionRecord, error) {
+// readVersions reads the records and returns those that were read.
+func (g *Gateway) readVersions(ctx context.Context) (map[string]origin.Record, error) {
+	eraBefore := g.Store.Era()
 	entries, _, err := g.Store.List(ctx, versionPrefix)
 	if err != nil {
 		return nil, errors.Annotate(err, "read the versions of services")
 	}
-	recorded := map[string]versionRecord{}
+	if era := g.Store.Era(); eraBefore > 0 && era != eraBefore {
+		return nil, errRestored
+	}
+	records := map[string]origin.Record{}
 	for _, e := range entries {
-		g.noteVersionRecord(recorded, e)
+		service, record := g.versionRecord(e)
+		records[service] = record
+		g.noteVersionRecord(service, record)
 	}
-	g.begun.noteRecordsRead()
-	return recorded, nil
+	return records, nil
 }
 
-// noteVersionRecord notes a record. One that can't be read is written anew.
-func (g *Gateway) noteVersionRecord(recorded map[string]versionRecord, e keyvalue.Entry) {
-	service := strings.TrimPrefix(e.Key, versionPrefix)
-	r := versionRecord{revision: e.Revision}
-	if err := json.Unmarshal(e.Value, &r.versions); err != nil || len(r.versions) > maxRecordedVersions {
-		g.Log.Info("versions of a service not readable", "Service", service, "Versions", len(r.versions))
-		r.versions = nil
+// versionRecord decodes a record. One that can't be read has no versions and is written anew.
+func (g *Gateway) versionRecord(e keyvalue.Entry) (service string, r origin.Record) {
+	service = strings.TrimPrefix(e.Key, versionPrefix)
+	r = origin.Record{Era: g.Store.Era(), Revision: e.Revision}
+	if e.Deleted || len(e.Value) == 0 {
+		return service, r
 	}
-	recorded[service] = r
-	g.begun.noteVersions(time.Now(), service, r.versions)
+	if err := json.Unmarshal(e.Value, &r.Versions); err != nil || len(r.Versions) > maxRecordedVersions {
+		g.Log.Info("versions of a service not readable", "Service", service, "Versions", len(r.Versions))
+		r.Versions = nil
+	}
+	return service, r
 }
 
-// writeVersions writes the records that differ from what the services have, or had until lately.
-func (g *Gateway) writeVersions(ctx context.Context, recorded map[string]versionRecord) error {
-	for service, versions := range g.begun.versionsOfServices(time.Now()) {
-		r := recorded[service]
-		if slices.Equal(r.versions, versions) {
-			continue
-		}
-		value, err := json.Marshal(versions)
+// noteVersionRecord notes a record. Servers of versions that it adds get streams from now on.
+func (g *Gateway) noteVersionRecord(service string, r origin.Record) (newer bool) {
+	newer = g.begun.noteRecord(time.Now(), service, r)
+	if newer {
+		g.post(func(c *control) { c.changed = true })
+	}
+	return newer
+}
+
+// writeVersions writes records of services.
+func (g *Gateway) writeVersions(ctx context.Context, services map[string]versionsToRecord) error {
+	for service, next := range services {
+		value, err := json.Marshal(next.versions)
 		if err != nil {
 			return errors.Annotate(err, "encode the versions of a service")
 		}
-		e, err := g.Store.CompareAndSwap(ctx, versionPrefix+service, value, r.revision, "")
+		e, err := g.Store.CompareAndSwap(ctx, versionPrefix+service, value, next.revision, "")
 		var conflict *keyvalue.ConflictError
 		switch {
 		case errors.As(err, &conflict): // Another daemon wrote it, or the answer to a write was lost.
 			conflict.Current.Key = versionPrefix + service
-			g.noteVersionRecord(recorded, conflict.Current)
+			if g.noteVersionRecord(g.versionRecord(conflict.Current)) {
+				g.versionsWanted(true)
+			}
+			continue
 		case err != nil:
 			return errors.Annotate(err, "write the versions of a service")
-		default:
-			g.Log.Info("versions recorded", "Service", service, "Versions", versions)
-			recorded[service] = versionRecord{e.Revision, versions}
 		}
+		g.Log.Info("versions recorded", "Service", service, "Versions", next.versions)
+		g.noteVersionRecord(service, origin.Record{Era: g.Store.Era(), Revision: e.Revision, Versions: next.versions})
+		g.post((*control).confirmListing) // Peers learn it from the listing.
 	}
 	return nil
 }
+
+// encodeVersions returns the records for a listing.
+func (b *begunStreams) encodeVersions() []message.ServiceVersions {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var list []message.ServiceVersions
+	for service, r := range b.records.All() {
+		list = append(list, message.ServiceVersions{Service: service, Era: r.Era, Revision: r.Revision, Versions: r.Versions})
+	}
+	slices.SortFunc(list, func(x, y message.ServiceVersions) int { return strings.Compare(x.Service, y.Service) })
+	return list
+}
+
+// noteVersions notes the records of a listing of a peer.
+func (c *control) noteVersions(now time.Time, list []message.ServiceVersions) {
+	for _, m := range list {
+		if c.g.begun.noteRecord(now, m.Service, origin.Record{Era: m.Era, Revision: m.Revision, Versions: m.Versions}) {
+			c.changed = true
+		}
+	}
+}
--- a/internal/gateway/versions_test.go
+++ b/internal/gateway/versions_test.go
@@ -259,8 +259,8 @@
 	gateways := env.restartAll(g1, g2)
 	for _, gw := range gateways {
 		waitFor(t, gw.Daemon+" has read the records", func() bool {
-			_, basis := gw.begun.versionOf(time.Now(), origin.StreamOf("began0"), "model")
-			return basis != basisNone
+			_, ok := gw.begun.versionOf(time.Now(), origin.StreamOf("began0"))
+			return ok
 		})
 	}
 	for i := range streams {
--- a/internal/message/message_gen.go
+++ b/internal/message/message_gen.go
@@ -378,6 +378,9 @@
 
 	// Configuration version that was read; 0 means that none was read yet.
 	Version int64 `json:"Version"`
+
+	// Records of the software versions of services that the sender knows.
+	Versions []ServiceVersions `json:"Versions,omitempty,omitzero"`
 }
 
 // Member is the state of one backend server incarnation, as seen by the sender.
@@ -599,6 +602,22 @@
 	Service string `json:"Service"`
 }
 
+// ServiceVersions is the record in the store of the software versions of a
+// service.
+type ServiceVersions struct {
+	// Era of the store to which Revision belongs.
+	Era int64 `json:"Era,omitempty,omitzero"`
+
+	// Revision of the record.
+	Revision int64 `json:"Revision"`
+
+	// Name of the service.
+	Service string `json:"Service"`
+
+	// Versions that the service has, or had until lately.
+	Versions []string `json:"Versions"`
+}
+
 // Status is the heartbeat of a gateway, sent to its peers several times a second.
 // Sums count from the start of the sender, so that the next message makes up for a
 // lost one.
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -33,6 +33,9 @@
 	Version *string
 	// AvoidVersion, if not nil, is the software version that the server must not have.
 	AvoidVersion *string
+	// RequiresRecord excludes servers whose version is not recorded: another daemon could not conclude from the
+	// records at which version the call ran.
+	RequiresRecord bool
 	// Alone requires a server without other requests, for a suspected request in quarantine.
 	Alone bool
 	// Plain marks a call to a service without prompts.
@@ -49,7 +52,8 @@
 
 // accepts reports whether a server has a version that the call may use.
 func (c *Call) accepts(s *Server) bool {
-	return (c.Version == nil || *c.Version == s.Version) && (c.AvoidVersion == nil || *c.AvoidVersion != s.Version)
+	return (c.Version == nil || *c.Version == s.Version) && (c.AvoidVersion == nil || *c.AvoidVersion != s.Version) &&
+		(!c.RequiresRecord || s.VersionRecorded)
 }
 
 func (c *Call) promptTokens() float64 {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -15,9 +15,11 @@
 	Service     string
 	// Version is that of the server's software.
 	Version string
-	Place   string
-	Region  string
-	Class   string
+	// VersionRecorded means that Version is recorded durably for its service.
+	VersionRecorded bool
+	Place           string
+	Region          string
+	Class           string
 	// Slots is the number of requests that the server runs at a time.
 	Slots int
 	// TokensPerSecond is the rate of generation with all slots in use.
