origin, gateway: a version that returns to a service is recorded anew

Cause: a version without servers is removed from its service's record. Where its servers return at that moment, a daemon that lists them still has the record from before the removal and would let streams begin at a version that is recorded no longer; a daemon with old knowledge could not learn of it (found by reading).

Change: a version counts as recorded only by a record that is newer than the last one during which it had no server. The daemon that lists it first writes the record again, which also makes the removal fail.

Evidence: TestReturningVersionIsRecordedAnew (without a network); it could not be written against the code before, which has no NoteServers.

--- a/internal/gateway/begun.go
+++ b/internal/gateway/begun.go
@@ -71,6 +71,9 @@
 func (b *begunStreams) noteServers(now time.Time, c *control) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if !c.serversListed {
+		return
+	}
 	b.present = map[string][]string{}
 	for _, m := range c.fleet.Members() {
 		b.versions.Note(now, m.Service, m.Version)
@@ -78,21 +81,21 @@
 			b.present[m.Service] = append(b.present[m.Service], m.Version)
 		}
 	}
+	for _, service := range b.versions.Services() {
+		b.records.NoteServers(service, b.present[service])
+	}
 }
 
 // noteRecord notes the record of the versions of a service and reports whether it is newer than the one that was
-// known. Versions that it adds count as seen now: this daemon may have missed their servers.
+// known. Its versions count as seen now: this daemon may have missed their servers.
 func (b *begunStreams) noteRecord(now time.Time, service string, r origin.Record) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	before := b.records.Of(service)
 	if !b.records.Note(service, r) {
 		return false
 	}
 	for _, v := range r.Versions {
-		if !slices.Contains(before.Versions, v) {
-			b.versions.Note(now, service, v)
-		}
+		b.versions.Note(now, service, v)
 	}
 	return true
 }
@@ -108,16 +111,18 @@
 func (b *begunStreams) lacksRecord() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for service, versions := range b.present {
-		for _, v := range versions {
-			if !b.records.Has(service, v) {
-				return true
-			}
+	for service := range b.present {
+		if b.lacksRecordOf(service) {
+			return true
 		}
 	}
 	return false
 }
 
+func (b *begunStreams) lacksRecordOf(service string) bool {
+	return slices.ContainsFunc(b.present[service], func(v string) bool { return !b.records.Has(service, v) })
+}
+
 // versionsToRecord is the next record of a service, which replaces the one of a revision.
 type versionsToRecord struct {
 	revision int64
@@ -140,7 +145,7 @@
 		}
 		slices.Sort(next)
 		next = slices.Compact(next)
-		if len(next) > 0 && !slices.Equal(record.Versions, next) {
+		if len(next) > 0 && (!slices.Equal(record.Versions, next) || b.lacksRecordOf(service)) {
 			services[service] = versionsToRecord{record.Revision, next}
 		}
 	}
--- a/internal/origin/records.go
+++ b/internal/origin/records.go
@@ -20,6 +20,9 @@
 // has missed. It is not safe for concurrent use.
 type Records struct {
 	services map[string]Record
+	// absent has the latest record during which a version had no server. The version may have been removed
+	// since, so that only a later record shows that it is recorded.
+	absent map[[2]string]Record
 }
 
 // Note records a record and reports whether it is newer than the one that was known.
@@ -37,9 +40,28 @@
 // Of returns the record of a service. It is empty if none is known.
 func (r *Records) Of(service string) Record { return r.services[service] }
 
-// Has reports whether a version of a service is recorded.
+// NoteServers records which versions the servers of a service have now.
+func (r *Records) NoteServers(service string, versions []string) {
+	record := r.services[service]
+	for _, v := range record.Versions {
+		if slices.Contains(versions, v) {
+			continue
+		}
+		if r.absent == nil {
+			r.absent = map[[2]string]Record{}
+		}
+		r.absent[[2]string{service, v}] = record
+	}
+}
+
+// Has reports whether a version of a service is recorded, and has been since it last had no server.
 func (r *Records) Has(service, version string) bool {
-	return slices.Contains(r.services[service].Versions, version)
+	record := r.services[service]
+	if !slices.Contains(record.Versions, version) {
+		return false
+	}
+	absent, ok := r.absent[[2]string{service, version}]
+	return !ok || absent.before(record)
 }
 
 // All returns all records by service.
--- a/internal/origin/records_test.go
+++ b/internal/origin/records_test.go
@@ -50,3 +50,23 @@
 		}
 	}
 }
+
+// TestReturningVersionIsRecordedAnew guards against streams at a version that was removed from the record while it had no server.
+func TestReturningVersionIsRecordedAnew(t *testing.T) {
+	var r Records
+	both := []string{"v1", "v2"}
+	r.Note("model", Record{1, 5, both})
+	r.NoteServers("model", both)
+	if !r.Has("model", "v2") {
+		t.Error("a version with servers is not recorded")
+	}
+	r.NoteServers("model", []string{"v1"})
+	r.NoteServers("model", both)
+	if r.Has("model", "v2") || !r.Has("model", "v1") {
+		t.Error("the version that returned is recorded by a record from before")
+	}
+	r.Note("model", Record{1, 6, both})
+	if !r.Has("model", "v2") {
+		t.Error("the version that returned is not recorded by a later record")
+	}
+}
