gateway: reads for unknown streams back off, and cost other services nothing

Change: a failed read delays the next one by 0.2 to 1.6 s, in which streams are refused at once. Records of begun streams are read only for a service with several versions, at most every 100 ms, and their failure concerns only its streams. A request to record at once replaces the pending one. Up to 1,024 versions are recorded, and no more are written than are read.

--- a/internal/gateway/begun.go
+++ b/internal/gateway/begun.go
@@ -100,6 +100,13 @@
 	return true
 }
 
+// allRecords returns the known records by service.
+func (b *begunStreams) allRecords() map[string]origin.Record {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.records.All()
+}
+
 // isRecorded reports whether a version of a service is recorded in the store.
 func (b *begunStreams) isRecorded(service, version string) bool {
 	b.mu.Lock()
@@ -129,8 +136,8 @@
 	versions []string
 }
 
-// versionsToRecord returns the records that lack a version of a listed server. With removal, they also keep the
-// versions that a service had until lately, and no others.
+// versionsToRecord returns the records that lack a version of a listed server. With removal, they also keep the versions that a
+// service had until lately, and no others.
 func (b *begunStreams) versionsToRecord(now time.Time, removal bool) map[string]versionsToRecord {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -140,7 +147,8 @@
 		next := slices.Clone(b.present[service])
 		if removal {
 			next = append(next, b.versions.Of(now, service)...)
-		} else {
+		}
+		if !removal {
 			next = append(next, record.Versions...)
 		}
 		slices.Sort(next)
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -348,7 +348,7 @@
 	v.ByPlace, v.Delegate, v.Delegates = c.topology.ByPlace, c.topology.Delegate, c.topology.Delegates
 	c.g.begun.noteServers(now, c)
 	if c.g.begun.lacksRecord() {
-		c.g.versionsWanted(c.listedHere)
+		c.g.requestVersionRecord(c.listedHere)
 	}
 	c.g.view.Store(v)
 	c.g.evidence.retain(v)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -154,9 +154,9 @@
 
 	demand *demandTracker
 	begun  *begunStreams
-	// unrecorded wakes recordVersions; see versionsWanted.
-	unrecorded chan bool
-	checks     versionChecks
+	// recordRequests wakes recordVersions; see requestVersionRecord.
+	recordRequests chan bool
+	checks         versionChecks
 
 	evidence rolloutEvidence
 
@@ -210,7 +210,8 @@
 	g.counts, g.clock = accounting.NewUsageCounter(), accounting.NewClock()
 	g.demand = newDemandTracker()
 	g.begun = newBegunStreams(time.Now())
-	g.unrecorded, g.checks.wake = make(chan bool, 1), make(chan struct{}, 1)
+	g.recordRequests, g.checks.wake = make(chan bool, 1), make(chan struct{}, 1)
+	g.checks.retry.Most = maxPollRetryDelay
 	if g.Callers == nil {
 		g.Callers = &intake.Gate{}
 	}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -153,6 +153,7 @@
 		return keyvalue.Entry{}, keyvalue.ErrUnavailable
 	}
 	if e := s.entries[key]; !e.Deleted && e.Revision != revision || e.Deleted && revision != 0 {
+		e.Key, e.Era = key, s.era
 		return keyvalue.Entry{}, &keyvalue.ConflictError{Current: e}
 	}
 	return s.write(key, value), nil
--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -130,7 +130,7 @@
 
 // sendListing sends a listing to the peers for which include returns true.
 func (c *control) sendListing(m message.Listing, include func(peerState) bool) {
-	m.Versions = c.g.begun.encodeVersions()
+	m.Versions = encodeVersions(c.g.begun.allRecords())
 	m.Rollouts = nil
 	for _, s := range c.rollouts.set.States() {
 		m.Rollouts = append(m.Rollouts, encodeRollout(time.Now(), s))
--- /dev/null
+++ b/internal/gateway/records_test.go
@@ -0,0 +1,149 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"apricotbridge/internal/keyvalue"
+)
+
+// startPair starts a daemon, and one without links to it whose store the caller may stall. Both know v1.
+func (env *testEnv) startPair(currentID, staleID string) (current, stale *testGateway, isolated *isolatedStore) {
+	current = env.startReady(currentID)
+	isolated = &isolatedStore{store: env.store}
+	env.gatewayStore = isolated
+	stale = env.startReady(staleID)
+	for _, gw := range []*testGateway{current, stale} {
+		waitFor(env.t, "the version is recorded", func() bool { return gw.begun.isRecorded("model", "v1") })
+	}
+	return current, stale, isolated
+}
+
+// beginMany begins streams and returns those that began at a server.
+func (gw *testGateway) beginMany(t *testing.T, server *backendServer) []string {
+	t.Helper()
+	for i := range 30 {
+		gw.begin(t, fmt.Sprint("began", i))
+	}
+	streams := beganAt(server)
+	if len(streams) == 0 {
+		t.Fatalf("no stream began at %s", server.id)
+	}
+	return streams
+}
+
+// checkNotJoined checks that streams of v2 that are taken up do not go on at a server of v1.
+func checkNotJoined(t *testing.T, gw *testGateway, streams []string, older *backendServer) {
+	t.Helper()
+	for _, id := range streams {
+		gw.takeUp(t, id)
+	}
+	if n := older.continued(); n > 0 {
+		t.Errorf("%d of %d streams of v2 went on at v1", n, len(streams))
+	}
+}
+
+// TestStaleDaemonDoesNotRemoveVersion guards against joining versions after a daemon with old knowledge removes one that has returned.
+func TestStaleDaemonDoesNotRemoveVersion(t *testing.T) {
+	env := newTestEnv(t)
+	older := env.addVersion("s1", "model", "v1", breakingStream())
+	newer := env.addVersion("s2", "model", "v2", breakingStream())
+	current, stale, isolated := env.startPair("g2", "g1") // The first by id removes.
+	isolated.late = true
+	gateways := []*testGateway{current, stale}
+	const memory = 3 * time.Second
+	for _, gw := range gateways {
+		waitFor(t, "the new version is recorded", func() bool { return gw.accepting("s2") && gw.begun.isRecorded("model", "v2") })
+		gw.begun.setMemory(memory)
+	}
+	env.store.remove("servers/s2")
+	for _, gw := range gateways {
+		waitFor(t, "the new version has left", func() bool { return !gw.accepting("s2") })
+	}
+	left := time.Now()
+	time.Sleep(memory - 1200*time.Millisecond)
+	isolated.stall()
+	env.register(newer, "model", false)
+	waitFor(t, "the new version is back", func() bool { return current.accepting("s2") && current.begun.isRecorded("model", "v2") })
+	streams := current.beginMany(t, newer)
+	env.store.remove("servers/s2")
+	time.Sleep(time.Until(left.Add(memory + 700*time.Millisecond)))
+	isolated.resume()
+	checkNotJoined(t, stale, streams, older)
+}
+
+// TestListingsCarryRecords guards against a daemon without streams at a new version because the store turns it away.
+func TestListingsCarryRecords(t *testing.T) {
+	env := newTestEnv(t)
+	env.addVersion("s1", "model", "v1", breakingStream())
+	first := env.startReady("g1")
+	waitFor(t, "the version is recorded", func() bool { return first.begun.isRecorded("model", "v1") })
+	turned := &turnedAwayStore{store: env.store}
+	env.gatewayStore = turned
+	second := env.startReady("g2")
+	waitFor(t, "the daemons are linked", func() bool { return len(second.hub.Peers()) == 1 })
+	turned.away.Store(true)
+	newer := env.addVersion("s2", "model", "v2", breakingStream())
+	waitFor(t, "streams begin at the new version", func() bool {
+		second.begin(t, fmt.Sprint("began", time.Now().UnixNano()))
+		return newer.requests() > 0
+	})
+}
+
+// turnedAwayStore fails the reads and writes of a daemon while it is away.
+type turnedAwayStore struct {
+	*store
+	away atomic.Bool
+}
+
+func (s *turnedAwayStore) List(ctx context.Context, prefix string) ([]keyvalue.Entry, int64, error) {
+	if s.away.Load() {
+		return nil, 0, keyvalue.ErrUnavailable
+	}
+	return s.store.List(ctx, prefix)
+}
+
+func (s *turnedAwayStore) CompareAndSwap(ctx context.Context, key string, value []byte, revision int64, lease string) (keyvalue.Entry, error) {
+	if s.away.Load() {
+		return keyvalue.Entry{}, keyvalue.ErrUnavailable
+	}
+	return s.store.CompareAndSwap(ctx, key, value, revision, lease)
+}
+
+// TestStreamWaitsForAReadThatBeginsLater guards against concluding from records that were read before the stream was taken up.
+func TestStreamWaitsForAReadThatBeginsLater(t *testing.T) {
+	checks := versionChecks{wake: make(chan struct{}, 1), retry: backoff{Most: time.Second}}
+	now := time.Unix(1_700_000_000, 0)
+	first := checks.join(now, "model")
+	if joined := checks.join(now, "other"); joined != first || !first.services["other"] {
+		t.Error("two streams do not share the read that both precede")
+	}
+	if checks.begin() != first {
+		t.Error("the read is not begun")
+	}
+	second := checks.join(now, "model")
+	if second == first {
+		t.Error("a stream shares a read that began before it came")
+	}
+	first.err = errRestored
+	checks.end(now, first)
+	if checks.join(now, "model") != nil {
+		t.Error("a stream waits for a read that is delayed after a failure")
+	}
+	checks.end(now, checks.begin())
+	if checks.join(now, "model") == nil {
+		t.Error("no read after a success")
+	}
+}
+
+// TestVersionCheckPauseIsShort guards against refusing streams in a large fleet only because reads are rare.
+func TestVersionCheckPauseIsShort(t *testing.T) {
+	for _, daemons := range []int{1, 8, 16, 90, 380} {
+		if pause := versionCheckPause(daemons); pause > versionCheckTimeout/2 {
+			t.Errorf("%d daemons: %v between two reads, of %v that a stream waits", daemons, pause, versionCheckTimeout)
+		}
+	}
+}
--- a/internal/gateway/stale_test.go
+++ b/internal/gateway/stale_test.go
@@ -12,12 +12,13 @@
 	"apricotbridge/internal/keyvalue"
 )
 
-// isolatedStore is the store as seen by a daemon without links to its peers. While it is stalled, calls wait,
-// and those that have waited fail.
+// isolatedStore is the store as seen by a daemon without links to its peers. While it is stalled, calls wait.
+// Those that have waited fail, unless they are executed late.
 type isolatedStore struct {
 	*store
 	mu      sync.Mutex
 	resumed chan struct{} // nil while calls are not stalled.
+	late    bool          // Calls that have waited are executed.
 	cut     bool          // Calls fail.
 	refused string        // Writes of keys with this prefix fail, unless it is empty.
 }
@@ -50,11 +51,14 @@
 
 func (s *isolatedStore) wait(ctx context.Context) error {
 	s.mu.Lock()
-	resumed, cut := s.resumed, s.cut
+	resumed, late, cut := s.resumed, s.late, s.cut
 	s.mu.Unlock()
 	if resumed != nil {
 		select {
 		case <-resumed:
+			if late {
+				return nil
+			}
 			return keyvalue.ErrUnavailable
 		case <-ctx.Done():
 			return ctx.Err()
@@ -132,15 +136,17 @@
 func TestStaleDaemonDoesNotJoinVersions(t *testing.T) {
 	for _, c := range []struct {
 		name string
+		// whole means that the streams go on at the new version, once its servers are known; else they are refused.
+		whole bool
 		// recover is called when streams of the new version have broken off, before they are taken up.
 		recover func(env *testEnv, stale *testGateway, s *isolatedStore)
 	}{
-		{"stopped, a moment after it goes on", func(_ *testEnv, _ *testGateway, s *isolatedStore) { s.resume() }},
-		{"cut off", func(_ *testEnv, _ *testGateway, s *isolatedStore) {
+		{"stopped, a moment after it goes on", true, func(_ *testEnv, _ *testGateway, s *isolatedStore) { s.resume() }},
+		{"cut off", false, func(_ *testEnv, _ *testGateway, s *isolatedStore) {
 			s.setCut(true)
 			s.resume()
 		}},
-		{"stopped while the version came and left", func(env *testEnv, stale *testGateway, s *isolatedStore) {
+		{"stopped while the version came and left", false, func(env *testEnv, stale *testGateway, s *isolatedStore) {
 			env.store.remove("servers/s3")
 			env.store.remove("servers/s4")
 			resumed := time.Now()
@@ -164,7 +170,7 @@
 			isolated.stall()
 			newer := []*backendServer{env.addVersion("s3", "model", "v2", breakingStream()), env.addVersion("s4", "model", "v2", breakingStream())}
 			waitFor(t, "the new version takes requests", func() bool { return current.accepting("s3") && current.accepting("s4") })
-			time.Sleep(2 * recordInterval) // The versions are recorded.
+			waitFor(t, "the new version is recorded", func() bool { return current.begun.isRecorded("model", "v2") })
 			for i := range 40 {
 				current.begin(t, fmt.Sprint("began", i))
 			}
@@ -172,10 +178,16 @@
 			if len(streams) == 0 {
 				t.Fatal("no stream began at the new version")
 			}
+			time.Sleep(4 * streamRecordInterval)
 			c.recover(env, stale, isolated)
 			for _, id := range streams {
-				if got := stale.takeUp(t, id); got.status != http.StatusOK && got.status != http.StatusServiceUnavailable {
-					t.Errorf("stream %s: got %+v", id, got)
+				started := time.Now()
+				got := stale.takeUp(t, id)
+				if took := time.Since(started); !c.whole && (got.status != http.StatusServiceUnavailable || took > 500*time.Millisecond) {
+					t.Errorf("stream %s after %v: got %+v", id, took, got)
+				}
+				if c.whole && got.status != http.StatusOK {
+					waitFor(t, "the stream is taken up", func() bool { return stale.takeUp(t, id).body == events(3, 8) })
 				}
 			}
 			if n := older[0].continued() + older[1].continued(); n > 0 {
--- a/internal/gateway/takeup.go
+++ b/internal/gateway/takeup.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/juju/errors"
-
 	"apricotbridge/internal/logs"
 	"apricotbridge/internal/origin"
 	"apricotbridge/pkg/problem"
@@ -20,7 +18,8 @@
 	basisStream versionBasis = "Stream"
 	// basisOnlyVersion means that the service has one version, by a record that was read since the request came.
 	basisOnlyVersion versionBasis = "OnlyVersion"
-	// basisRecord means that the stream is known from a record of begun streams that was read since then.
+	// basisRecord means that the stream became known since the request came, from the records of begun streams or
+	// from a peer.
 	basisRecord versionBasis = "Record"
 	// basisNone means that the version is not known.
 	basisNone versionBasis = "None"
@@ -38,13 +37,18 @@
 	// 300 then make 2,000 reads a second.
 	versionCheckInterval    = 500 * time.Microsecond
 	minVersionCheckInterval = 20 * time.Millisecond
-	// versionCheckRetryDelay is how long no read is tried after one that failed.
-	versionCheckRetryDelay = 200 * time.Millisecond
 )
 
+// versionCheckPause returns the least time between two reads.
+func versionCheckPause(daemons int) time.Duration {
+	return max(minVersionCheckInterval, time.Duration(daemons)*versionCheckInterval)
+}
+
 // versionCheck is a read of the records that streams wait for.
 type versionCheck struct {
-	done chan struct{}
+	// services are those of the streams that wait.
+	services map[string]bool
+	done     chan struct{}
 	// records has the records of versions, by service, and err why they could not be read. They are set before
 	// done is closed.
 	records map[string]origin.Record
@@ -55,26 +59,29 @@
 type versionChecks struct {
 	mu sync.Mutex
 	// next is the read that has not begun; nil means that nobody waits.
-	next     *versionCheck
-	wake     chan struct{}
-	failedAt time.Time
+	next *versionCheck
+	wake chan struct{}
+	// retry and retryAt delay the read after one that failed.
+	retry   backoff
+	retryAt time.Time
 }
 
-// join returns the next read that begins.
-func (v *versionChecks) join(now time.Time) (*versionCheck, error) {
+// join returns the next read that begins, or nil if the last one failed a short time ago.
+func (v *versionChecks) join(now time.Time, service string) *versionCheck {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if now.Sub(v.failedAt) < versionCheckRetryDelay {
-		return nil, errors.New("records of versions could not be read")
+	if now.Before(v.retryAt) {
+		return nil
 	}
 	if v.next == nil {
-		v.next = &versionCheck{done: make(chan struct{})}
+		v.next = &versionCheck{services: map[string]bool{}, done: make(chan struct{})}
 		select {
 		case v.wake <- struct{}{}:
 		default: // Not yet received.
 		}
 	}
-	return v.next, nil
+	v.next.services[service] = true
+	return v.next
 }
 
 // begin returns the read for which streams wait, or nil. Streams that come later wait for the one after it.
@@ -87,18 +94,27 @@
 }
 
 func (v *versionChecks) end(now time.Time, check *versionCheck) {
-	if check.err != nil {
-		v.mu.Lock()
-		v.failedAt = now
-		v.mu.Unlock()
-	}
+	v.mu.Lock()
+	v.retryAt = now.Add(v.retry.next(check.err))
+	v.mu.Unlock()
 	close(check.done)
 }
 
+// needsStreams reports whether a stream waits whose service has several versions.
+func (c *versionCheck) needsStreams() bool {
+	for service := range c.services {
+		if len(c.records[service].Versions) > 1 {
+			return true
+		}
+	}
+	return false
+}
+
 // checkVersions reads the records while streams wait that are not known here.
 func (g *Gateway) checkVersions(ctx context.Context) error {
 	dep := dependency{g: g, name: "version checks"}
-	era, restoredAt := int64(0), time.Time{}
+	var streamsReadAt, restoredAt time.Time
+	era := int64(0)
 	for {
 		select {
 		case <-ctx.Done():
@@ -122,14 +138,17 @@
 			// The copy may lack a version, which the daemons that know it record again.
 			check.err = errRestored
 		}
+		dep.noteResult(check.err)
 		// With links by place a record has the streams of all places, which is too much to read for each check.
-		if v := g.view.Load(); check.err == nil && g.begun.ambiguous(now) && !v.byPlace() {
-			check.err = g.readStreams(read, v, map[string]int64{})
+		v := g.view.Load()
+		if check.err == nil && check.needsStreams() && !v.byPlace() && now.Sub(streamsReadAt) >= streamRecordInterval {
+			if err := g.readStreams(read, v, map[string]int64{}); err == nil { // Else the streams are refused.
+				streamsReadAt = now
+			}
 		}
 		cancel()
-		dep.noteResult(check.err)
-		g.checks.end(now, check)
-		sleep(ctx, max(minVersionCheckInterval, time.Duration(len(g.view.Load().daemons()))*versionCheckInterval))
+		g.checks.end(time.Now(), check)
+		sleep(ctx, versionCheckPause(len(v.daemons())))
 	}
 }
 
@@ -170,8 +189,8 @@
 	if version, ok := s.g.begun.versionOf(s.received, stream); ok {
 		return version, basisStream
 	}
-	check, err := s.g.checks.join(s.received)
-	if err != nil {
+	check := s.g.checks.join(s.received, s.service)
+	if check == nil {
 		return "", basisNone
 	}
 	timeout := time.NewTimer(min(versionCheckTimeout, time.Until(s.deadline)))
--- a/internal/gateway/versions.go
+++ b/internal/gateway/versions.go
@@ -20,18 +20,51 @@
 
 const (
 	// maxRecordedVersions bounds the versions in one record.
-	maxRecordedVersions = 64
+	maxRecordedVersions = 1024
 	// recordDelay is how long a daemon that learned of a new version from a peer leaves it to the peer to
 	// record it.
 	recordDelay = 300 * time.Millisecond
 )
 
-// versionsWanted asks recordVersions to record the versions of the servers, at once or after recordDelay.
-func (g *Gateway) versionsWanted(atOnce bool) {
+// requestVersionRecord asks recordVersions to record the versions of the servers, at once or after recordDelay.
+func (g *Gateway) requestVersionRecord(atOnce bool) {
 	select {
-	case g.unrecorded <- atOnce:
+	case g.recordRequests <- atOnce:
+		return
 	default: // One is pending.
 	}
+	if !atOnce {
+		return
+	}
+	select {
+	case <-g.recordRequests: // It may be one that is not urgent.
+	default:
+	}
+	select {
+	case g.recordRequests <- true:
+	default:
+	}
+}
+
+// awaitRecordRequest waits until the versions are to be compared with their records.
+func (g *Gateway) awaitRecordRequest(ctx context.Context) {
+	timer := time.NewTimer(recordInterval)
+	defer timer.Stop()
+	for delayed := false; ; delayed = true {
+		select {
+		case atOnce := <-g.recordRequests:
+			if atOnce {
+				return
+			}
+			if !delayed {
+				timer.Reset(jitter(recordDelay))
+			}
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
 }
 
 // recordVersions reads the records of the versions that the services have, and keeps them. A version is recorded
@@ -57,16 +90,7 @@
 			sleep(ctx, wait)
 			continue
 		}
-		interval := time.NewTimer(recordInterval)
-		select {
-		case atOnce := <-g.unrecorded:
-			if !atOnce {
-				sleep(ctx, jitter(recordDelay))
-			}
-		case <-interval.C:
-		case <-ctx.Done():
-		}
-		interval.Stop()
+		g.awaitRecordRequest(ctx)
 	}
 	return nil
 }
@@ -130,6 +154,9 @@
 // writeVersions writes records of services.
 func (g *Gateway) writeVersions(ctx context.Context, services map[string]versionsToRecord) error {
 	for service, next := range services {
+		if len(next.versions) > maxRecordedVersions {
+			return errors.Errorf("service %q has %d versions, at most %d can be recorded", service, len(next.versions), maxRecordedVersions)
+		}
 		value, err := json.Marshal(next.versions)
 		if err != nil {
 			return errors.Annotate(err, "encode the versions of a service")
@@ -140,7 +167,7 @@
 		case errors.As(err, &conflict): // Another daemon wrote it, or the answer to a write was lost.
 			conflict.Current.Key = versionPrefix + service
 			if g.noteVersionRecord(g.versionRecord(conflict.Current)) {
-				g.versionsWanted(true)
+				g.requestVersionRecord(true)
 			}
 			continue
 		case err != nil:
@@ -154,11 +181,9 @@
 }
 
 // encodeVersions returns the records for a listing.
-func (b *begunStreams) encodeVersions() []message.ServiceVersions {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+func encodeVersions(records map[string]origin.Record) []message.ServiceVersions {
 	var list []message.ServiceVersions
-	for service, r := range b.records.All() {
+	for service, r := range records {
 		list = append(list, message.ServiceVersions{Service: service, Era: r.Era, Revision: r.Revision, Versions: r.Versions})
 	}
 	slices.SortFunc(list, func(x, y message.ServiceVersions) int { return strings.Compare(x.Service, y.Service) })
