gateway: the era of a version's record is that of the answer that brought it

Cause: a record was noted with the era that the store's client knew when the answer was handled. An answer from before a restore that is read after it counted as one of the new era: the daemon took a version for recorded whose record was lost, and with a higher revision than all that followed it never learned better.

Change: the era comes from the entry.

--- a/internal/gateway/records_test.go
+++ b/internal/gateway/records_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -10,6 +11,13 @@
 	"apricotbridge/internal/keyvalue"
 )
 
+// value returns the value of a key.
+func (s *store) value(key string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return string(s.entries[key].Value)
+}
+
 // startPair starts a daemon, and one without links to it whose store the caller may stall. Both know v1.
 func (env *testEnv) startPair(currentID, staleID string) (current, stale *testGateway, isolated *isolatedStore) {
 	current = env.startReady(currentID)
@@ -46,6 +54,45 @@
 	}
 }
 
+// lateStore runs a function between the execution of a write of a record and its answer.
+type lateStore struct {
+	*store
+	beforeAnswer atomic.Pointer[func()]
+}
+
+func (s *lateStore) CompareAndSwap(ctx context.Context, key string, value []byte, revision int64, lease string) (keyvalue.Entry, error) {
+	e, err := s.store.CompareAndSwap(ctx, key, value, revision, lease)
+	if strings.HasPrefix(key, versionPrefix) {
+		if f := s.beforeAnswer.Swap(nil); f != nil {
+			(*f)()
+		}
+	}
+	return e, err
+}
+
+// TestAnswerOfEarlierEraIsNoRecord guards against taking a version for recorded whose record was lost in a restore.
+func TestAnswerOfEarlierEraIsNoRecord(t *testing.T) {
+	env := newTestEnv(t)
+	env.addVersion("s1", "model", "v1", breakingStream())
+	late := &lateStore{store: env.store}
+	env.gatewayStore = late
+	gw := env.startReady("g1")
+	waitFor(t, "the version is recorded", func() bool { return gw.begun.isRecorded("model", "v1") })
+	before := env.store.copy()
+	env.store.mu.Lock()
+	env.store.revision += 100 // The lost record has a higher revision than all that follow.
+	env.store.mu.Unlock()
+	restore := func() {
+		c := env.store.copy()
+		c.entries[versionPrefix+"model"], c.revision = before.entries[versionPrefix+"model"], before.revision
+		env.store.restore(c)
+	}
+	late.beforeAnswer.Store(&restore)
+	env.addVersion("s2", "model", "v2", breakingStream())
+	waitFor(t, "the version is recorded", func() bool { return strings.Contains(env.store.value(versionPrefix+"model"), "v2") })
+	waitFor(t, "the daemon knows the record", func() bool { return gw.begun.isRecorded("model", "v2") })
+}
+
 // TestStaleDaemonDoesNotRemoveVersion guards against joining versions after a daemon with old knowledge removes one that has returned.
 func TestStaleDaemonDoesNotRemoveVersion(t *testing.T) {
 	env := newTestEnv(t)
--- a/internal/gateway/versions.go
+++ b/internal/gateway/versions.go
@@ -131,7 +131,7 @@
 // versionRecord decodes a record. One that can't be read has no versions and is written anew.
 func (g *Gateway) versionRecord(e keyvalue.Entry) (service string, r origin.Record) {
 	service = strings.TrimPrefix(e.Key, versionPrefix)
-	r = origin.Record{Era: g.Store.Era(), Revision: e.Revision}
+	r = origin.Record{Era: e.Era, Revision: e.Revision}
 	if e.Deleted || len(e.Value) == 0 {
 		return service, r
 	}
@@ -174,7 +174,7 @@
 			return errors.Annotate(err, "write the versions of a service")
 		}
 		g.Log.Info("versions recorded", "Service", service, "Versions", next.versions)
-		g.noteVersionRecord(service, origin.Record{Era: g.Store.Era(), Revision: e.Revision, Versions: next.versions})
+		g.noteVersionRecord(service, origin.Record{Era: e.Era, Revision: e.Revision, Versions: next.versions})
 		g.post((*control).confirmListing) // Peers learn it from the listing.
 	}
 	return nil
