gateway: a record of versions that a copy of the store lacks is written again

Cause: the records that a list has were noted, those that it lacks were not, so that the record of the earlier era stayed and nothing was to be written.

Change: what a complete list of a new era lacks counts as an empty record. Evidence: TestRecordMissingInCopyIsWrittenAgain failed before (not recorded within 10 s).

--- a/internal/gateway/begun.go
+++ b/internal/gateway/begun.go
@@ -107,6 +107,11 @@
 	return b.records.All()
 }
 
+// recordedServices returns the services of which a record is known.
+func (b *begunStreams) recordedServices() []string {
+	return slices.Collect(maps.Keys(b.allRecords()))
+}
+
 // isRecorded reports whether a version of a service is recorded in the store.
 func (b *begunStreams) isRecorded(service, version string) bool {
 	b.mu.Lock()
--- a/internal/gateway/records_test.go
+++ b/internal/gateway/records_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -54,6 +55,19 @@
 	}
 }
 
+// TestRecordMissingInCopyIsWrittenAgain guards against refusing unknown streams for good after a restore.
+func TestRecordMissingInCopyIsWrittenAgain(t *testing.T) {
+	env := newTestEnv(t)
+	env.addVersion("s1", "model", "v1", breakingStream())
+	gw := env.startReady("g1")
+	waitFor(t, "the version is recorded", func() bool { return env.store.has(versionPrefix + "model") })
+	c := env.store.copy()
+	delete(c.entries, versionPrefix+"model")
+	env.store.restore(c)
+	waitFor(t, "the version is recorded again", func() bool { return env.store.has(versionPrefix + "model") })
+	waitFor(t, "a stream that is not known is taken up", func() bool { return gw.takeUp(t, "unknown").status == http.StatusOK })
+}
+
 // lateStore runs a function between the execution of a write of a record and its answer.
 type lateStore struct {
 	*store
--- a/internal/gateway/versions.go
+++ b/internal/gateway/versions.go
@@ -116,7 +116,8 @@
 	if err != nil {
 		return nil, errors.Annotate(err, "read the versions of services")
 	}
-	if era := g.Store.Era(); eraBefore > 0 && era != eraBefore {
+	era := g.Store.Era()
+	if eraBefore > 0 && era != eraBefore {
 		return nil, errRestored
 	}
 	records := map[string]origin.Record{}
@@ -125,6 +126,11 @@
 		records[service] = record
 		g.noteVersionRecord(service, record)
 	}
+	for _, service := range g.begun.recordedServices() {
+		if _, ok := records[service]; !ok {
+			g.noteVersionRecord(service, origin.Record{Era: era}) // The copy of the store does not have it.
+		}
+	}
 	return records, nil
 }
 
