gateway: the wait after a restore of the store counts from when the restore was noticed

Cause: the era was noticed by reads for unknown streams only, which are rare. The first such read took any era for the first one and waited for nothing; a later one took an old restore for a new one. A version whose servers had left was recorded again only by the first living daemon, which may be the one that doesn't know it.

Change: each answer of the store that shows a new era starts the wait, whoever reads it, and until its end every daemon records again what it knows.

Evidence: TestRestoredRecordsAreNotTakenForComplete and TestRestoreDoesNotDelayLaterTakeUps fail on the code before (the second with a fixed wait of 8 s in place of the conditions), and pass, with the race detector too.

--- a/internal/gateway/begun.go
+++ b/internal/gateway/begun.go
@@ -37,6 +37,9 @@
 	startedAt, suppliedAt time.Time
 	// records has the versions that are recorded in the store.
 	records origin.Records
+	// era is the latest era of the store, and restoredAt when it was noted, unless it is the first.
+	era        int64
+	restoredAt time.Time
 	// unrecorded counts the streams that were noted since the record in the store was written: for a record of
 	// all (true), and of those that began here (false).
 	unrecorded map[bool]int
@@ -100,6 +103,31 @@
 	return true
 }
 
+// noteEra records an era of the store. After the first, a new one means that the store came back from a copy.
+func (b *begunStreams) noteEra(now time.Time, era int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if era <= b.era {
+		return
+	}
+	if b.era > 0 {
+		b.restoredAt = now
+	}
+	b.era = era
+}
+
+// lacksRestored reports whether the records may lack versions that the daemons which know them record again after
+// a restore of the store.
+func (b *begunStreams) lacksRestored(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.justRestored(now)
+}
+
+func (b *begunStreams) justRestored(now time.Time) bool {
+	return !b.restoredAt.IsZero() && now.Sub(b.restoredAt) < restoredDaemonsWait
+}
+
 // allRecords returns the known records by service.
 func (b *begunStreams) allRecords() map[string]origin.Record {
 	b.mu.Lock()
@@ -141,8 +169,8 @@
 	versions []string
 }
 
-// versionsToRecord returns the records that lack a version of a listed server. With removal, they also keep the versions that a
-// service had until lately, and no others.
+// versionsToRecord returns the records that lack a version of a listed server or, after a restore of the store, one
+// that a service had until lately. With removal, they keep those versions and no others.
 func (b *begunStreams) versionsToRecord(now time.Time, removal bool) map[string]versionsToRecord {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -150,7 +178,7 @@
 	for _, service := range b.versions.Services() {
 		record := b.records.Of(service)
 		next := slices.Clone(b.present[service])
-		if removal {
+		if removal || b.justRestored(now) {
 			next = append(next, b.versions.Of(now, service)...)
 		}
 		if !removal {
--- a/internal/gateway/records_test.go
+++ b/internal/gateway/records_test.go
@@ -55,6 +55,25 @@
 	}
 }
 
+// TestRestoredRecordsAreNotTakenForComplete guards against joining versions when a copy of the store lacks the record of a version.
+func TestRestoredRecordsAreNotTakenForComplete(t *testing.T) {
+	env := newTestEnv(t)
+	older := env.addVersion("s1", "model", "v1", breakingStream())
+	current, stale, isolated := env.startPair("g1", "g2")
+	waitFor(t, "the stale daemon knows the era", func() bool { return len(stale.begun.recordedServices()) > 0 })
+	isolated.stall()
+	before := env.store.copy()
+	newer := env.addVersion("s2", "model", "v2", breakingStream())
+	waitFor(t, "the new version is recorded", func() bool { return current.accepting("s2") && current.begun.isRecorded("model", "v2") })
+	streams := current.beginMany(t, newer)
+	env.store.remove("servers/s2")
+	waitFor(t, "the new version has left", func() bool { return !current.accepting("s2") })
+	env.store.restore(before)
+	isolated.resume()
+	checkNotJoined(t, stale, streams, older)
+	waitFor(t, "the version that the copy lacks is recorded again", func() bool { return strings.Contains(env.store.value(versionPrefix+"model"), "v2") })
+}
+
 // TestRecordMissingInCopyIsWrittenAgain guards against refusing unknown streams for good after a restore.
 func TestRecordMissingInCopyIsWrittenAgain(t *testing.T) {
 	env := newTestEnv(t)
@@ -68,6 +87,20 @@
 	waitFor(t, "a stream that is not known is taken up", func() bool { return gw.takeUp(t, "unknown").status == http.StatusOK })
 }
 
+// TestRestoreDoesNotDelayLaterTakeUps guards against refusing unknown streams long after a restore.
+func TestRestoreDoesNotDelayLaterTakeUps(t *testing.T) {
+	env := newTestEnv(t)
+	env.addVersion("s1", "model", "v1", breakingStream())
+	gw := env.startReady("g1")
+	waitFor(t, "a stream that is not known is taken up", func() bool { return gw.takeUp(t, "before").status == http.StatusOK })
+	env.store.restore(env.store.copy())
+	waitFor(t, "the daemon knows of the restore", func() bool { return gw.begun.lacksRestored(time.Now()) })
+	waitFor(t, "the records are complete", func() bool { return !gw.begun.lacksRestored(time.Now()) })
+	if got := gw.takeUp(t, "after"); got.status != http.StatusOK {
+		t.Errorf("got %+v", got)
+	}
+}
+
 // lateStore runs a function between the execution of a write of a record and its answer.
 type lateStore struct {
 	*store
--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -120,6 +120,7 @@
 			}
 			era = latest
 			now := time.Now()
+			g.begun.noteEra(now, latest)
 			g.post(func(c *control) { c.noteEra(now, latest) })
 		}
 		if !time.Now().After(g.nextPoll(started)) {
--- a/internal/gateway/takeup.go
+++ b/internal/gateway/takeup.go
@@ -113,8 +113,7 @@
 // checkVersions reads the records while streams wait that are not known here.
 func (g *Gateway) checkVersions(ctx context.Context) error {
 	dep := dependency{g: g, name: "version checks"}
-	var streamsReadAt, restoredAt time.Time
-	era := int64(0)
+	var streamsReadAt time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -127,21 +126,13 @@
 		}
 		read, cancel := context.WithTimeout(ctx, versionCheckTimeout)
 		check.records, check.err = g.readVersions(read)
-		now := time.Now()
-		if latest := g.Store.Era(); latest != era {
-			if era > 0 {
-				restoredAt = now
-			}
-			era = latest
-		}
-		if check.err == nil && now.Sub(restoredAt) < restoredDaemonsWait {
-			// The copy may lack a version, which the daemons that know it record again.
+		if check.err == nil && g.begun.lacksRestored(time.Now()) {
 			check.err = errRestored
 		}
 		dep.noteResult(check.err)
 		// With links by place a record has the streams of all places, which is too much to read for each check.
 		v := g.view.Load()
-		if check.err == nil && check.needsStreams() && !v.byPlace() && now.Sub(streamsReadAt) >= streamRecordInterval {
+		if now := time.Now(); check.err == nil && check.needsStreams() && !v.byPlace() && now.Sub(streamsReadAt) >= streamRecordInterval {
 			if err := g.readStreams(read, v, map[string]int64{}); err == nil { // Else the streams are refused.
 				streamsReadAt = now
 			}
--- a/internal/gateway/versions.go
+++ b/internal/gateway/versions.go
@@ -79,6 +79,7 @@
 		switch latest := g.Store.Era(); {
 		case !read || latest != era:
 			era = latest
+			g.begun.noteEra(time.Now(), era)
 			_, err = g.readVersions(ctx)
 			read = err == nil
 		default:
@@ -117,6 +118,7 @@
 		return nil, errors.Annotate(err, "read the versions of services")
 	}
 	era := g.Store.Era()
+	g.begun.noteEra(time.Now(), era)
 	if eraBefore > 0 && era != eraBefore {
 		return nil, errRestored
 	}
