gateway: set the store's mode of a test under its lock

Cause: the race detector found that TestStaleDaemonDoesNotRemoveVersion changes a field that a daemon reads. Change: a method with the lock. Evidence: the new tests of records pass with the race detector.

--- a/internal/gateway/records_test.go
+++ b/internal/gateway/records_test.go
@@ -146,7 +146,7 @@
 	older := env.addVersion("s1", "model", "v1", breakingStream())
 	newer := env.addVersion("s2", "model", "v2", breakingStream())
 	current, stale, isolated := env.startPair("g2", "g1") // The first by id removes.
-	isolated.late = true
+	isolated.executeLate()
 	gateways := []*testGateway{current, stale}
 	const memory = 3 * time.Second
 	for _, gw := range gateways {
--- a/internal/gateway/stale_test.go
+++ b/internal/gateway/stale_test.go
@@ -36,6 +36,13 @@
 	s.resumed = make(chan struct{})
 }
 
+// executeLate makes calls that wait in later stalls be executed when they end.
+func (s *isolatedStore) executeLate() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.late = true
+}
+
 func (s *isolatedStore) resume() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
