gateway: a peer whose link opens is sent the begun streams that it may have missed

What callers would see: during a release with two versions, streams that began while the link between two daemons was down are refused at one of them (503) for as long as they can be taken up, also long after the link is back. With links by place only: in a full mesh the daemon reads the records of the streams.

Cause: a status has the streams that began since the last one, for the peers that are linked then. A peer that was not linked, or whose link broke before the message arrived, never got them. Besides, a daemon without peers kept the streams to send without a bound.

Change: what was sent is kept, in order, for as long as a stream may be taken up, and the status that greets a peer on a new link has all of it: the streams that began here, and at a delegate those that it forwards to the peer's side. Peers ignore what they know.

--- a/internal/gateway/begun.go
+++ b/internal/gateway/begun.go
@@ -29,9 +29,9 @@
 	present map[string][]string
 	// own has those of streams that began at this daemon.
 	own origin.Set
-	// near and far hold the streams that were not yet sent to peers in this place and in other places.
-	// Where all daemons are linked, far is not used.
-	near, far []origin.Stream
+	// near and far hold the streams for peers in this place and in other places. Where all daemons are linked,
+	// far is not used.
+	near, far origin.Log
 	// startedAt is when this daemon started, and suppliedAt when a peer sent all streams that it knew; zero
 	// means not yet.
 	startedAt, suppliedAt time.Time
@@ -45,6 +45,7 @@
 func newBegunStreams(now time.Time) *begunStreams {
 	b := &begunStreams{startedAt: now, unrecorded: map[bool]int{}}
 	b.streams.MostStreams, b.own.MostStreams = maxBegunStreams, maxBegunStreams
+	b.near.MostStreams, b.far.MostStreams = maxBegunStreams, maxBegunStreams
 	b.setMemory(minStreamMemory)
 	return b
 }
@@ -53,6 +54,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.streams.Memory, b.own.Memory, b.versions.Memory = memory, memory, memory
+	b.near.Memory, b.far.Memory = memory, memory
 }
 
 // streamMemory is how long the version of a stream may be asked for: the stream itself and the caller
@@ -172,9 +174,9 @@
 	b.own.Note(now, stream, version)
 	b.unrecorded[true]++
 	b.unrecorded[false]++
-	b.near = append(b.near, stream)
+	b.near.Add(now, stream)
 	if forward {
-		b.far = append(b.far, stream)
+		b.far.Add(now, stream)
 	}
 }
 
@@ -193,9 +195,9 @@
 			switch {
 			case !forward:
 			case fromOwnPlace:
-				b.far = append(b.far, stream)
+				b.far.Add(now, stream)
 			default:
-				b.near = append(b.near, stream)
+				b.near.Add(now, stream)
 			}
 		}
 	}
@@ -205,17 +207,31 @@
 func (b *begunStreams) take(now time.Time, scope statusScope) []message.BegunStreams {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	news := &b.near
+	return b.encode(now, b.log(scope).Take(now))
+}
+
+// missed returns the streams that a peer whose link has just opened may have missed: all that were taken for
+// statuses, and those that will be. What was sent on a link shortly before it broke may be lost too.
+func (b *begunStreams) missed(now time.Time, scope statusScope) []message.BegunStreams {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.encode(now, b.log(scope).All(now))
+}
+
+func (b *begunStreams) log(scope statusScope) *origin.Log {
 	if scope == farPeers {
-		news = &b.far
+		return &b.far
 	}
+	return &b.near
+}
+
+func (b *begunStreams) encode(now time.Time, streams []origin.Stream) []message.BegunStreams {
 	byVersion := map[string][]origin.Stream{}
-	for _, stream := range *news {
+	for _, stream := range streams {
 		if version, ok := b.streams.Version(now, stream); ok {
 			byVersion[version] = append(byVersion[version], stream)
 		}
 	}
-	*news = nil
 	return encodeBegun(byVersion)
 }
 
--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -444,7 +444,7 @@
 	var to []string
 	for _, p := range g.hub.Peers() {
 		// Links that the topology no longer has are closed once nothing is sent on them.
-		if v.hasLink(g.Place, p) && (v.byPlace() && p.Place != g.Place) == (scope == farPeers) {
+		if v.hasLink(g.Place, p) && v.scopeOf(g.Place, p) == scope {
 			to = append(to, p.Daemon)
 		}
 	}
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -23,6 +23,14 @@
 	farPeers
 )
 
+// scopeOf returns the scope of a linked peer of a daemon in a place.
+func (v *View) scopeOf(place string, p message.Hello) statusScope {
+	if v.byPlace() && p.Place != place {
+		return farPeers
+	}
+	return nearPeers
+}
+
 // status returns the status of this daemon for a scope.
 func (g *Gateway) status(now time.Time, scope statusScope) message.Status {
 	s := message.Status{Clock: time.Now().UnixMilli(), Draining: g.draining.Load(), Duty: g.holdsDuty.Load(), DutyGivenUp: g.dutyGivenUp.Load()}
--- a/internal/gateway/supply.go
+++ b/internal/gateway/supply.go
@@ -28,9 +28,14 @@
 )
 
 // greet sends a status to a peer whose link has just opened, so that each side soon knows what
-// the other one lacks.
+// the other one lacks, with the streams that statuses had while there was no link.
 func (g *Gateway) greet(p message.Hello) {
-	data, err := message.Encode(message.KindStatus, g.status(time.Now(), farPeers))
+	now := time.Now()
+	s := g.status(now, farPeers)
+	if v := g.view.Load(); v.hasLink(g.Place, p) {
+		s.Begun = g.begun.missed(now, v.scopeOf(g.Place, p))
+	}
+	data, err := message.Encode(message.KindStatus, s)
 	if err != nil {
 		g.Log.Error(err, "status not sent")
 		return
