gateway: the age of what was read from the store counts from when the read began

The log line "stream taken up" shows a list that is seconds old as new.

Cause: the time of a read was taken when its answers had been handled. The list that was read before the stop thus counted as new and deferred the next read.

Change: the time is taken before the read begins. The time between two reads is shorter by what a read takes; one that takes longer than that time is followed by the next one at once.

TestOnePolls, which counts the reads, passes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -126,8 +126,8 @@
 	dispatcher *dispatch.Dispatcher
 	hub        *peer.Hub
 	view       atomic.Pointer[View]
-	// storeReadAt is when this daemon, or a peer that sent it a listing, last read the
-	// store.
+	// storeReadAt is when this daemon last began to read the store, with success, or received the listing
+	// of a peer that read it.
 	storeReadAt atomic.Pointer[time.Time]
 	// serversAsOf is as of when the list of servers is complete.
 	serversAsOf atomic.Pointer[storeMoment]
--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -182,6 +182,7 @@
 // readStore reads the servers' entries and the configuration once. The entries come first and take
 // effect at once: a configuration with many routes takes long to read.
 func (g *Gateway) readStore(ctx context.Context, versions *versionReader) error {
+	began := time.Now() // What is read may be as old, however late the answers are handled.
 	eraBefore := g.Store.Era()
 	entries, revision, err := g.Store.List(ctx, g.Keys.Servers)
 	era := g.Store.Era()
@@ -203,8 +204,7 @@
 	if document.Revision > 0 {
 		g.offerConfiguration(document.Value, "Store")
 	}
-	now := time.Now()
-	g.storeReadAt.Store(&now)
+	g.storeReadAt.Store(&began)
 	g.post((*control).confirmListing)
 	return nil
 }
