gateway: only a daemon that has followed the list of servers removes a version from the record

What callers would see: streams that began at a version whose servers had left and came back are taken up with 200 and go on at another version (ORDER). It takes a daemon that missed the return: it stood still, was cut off, or its reads of the list were refused.

Cause: the first living daemon removes from the record of versions those that it has not seen for as long as a stream may be taken up, and a daemon without links takes itself for the first. What it has not seen while it missed lists says nothing. The revision of the record does not prevent it: nothing is written when servers of a recorded version return. The record then names one version, from which the version of unknown streams is concluded.

Change: a version is removed only by a daemon that has had a list of servers every 2 s at least for as long as the version was not seen. Versions are remembered 2 s longer than streams, since servers may come and leave between two lists.

What remains: servers that come back in the moment between the remover's last list and its write get streams until the version is recorded again, with the next list.

--- a/internal/gateway/begun.go
+++ b/internal/gateway/begun.go
@@ -18,6 +18,9 @@
 	// maxBegunStreams bounds the streams that are remembered; a place of the largest deployment begins
 	// about 600 a second.
 	maxBegunStreams = 1 << 17
+	// maxListGap is the longest time between two lists of servers in which a daemon follows them. They are read
+	// every 0.7 to 1.3 s. A version whose servers came and left in between was seen by others only.
+	maxListGap = 2 * time.Second
 )
 
 // begunStreams is what this daemon knows of the versions at which streams began.
@@ -37,6 +40,9 @@
 	startedAt, suppliedAt time.Time
 	// records has the versions that are recorded in the store.
 	records origin.Records
+	// listedAt is as of when the servers were last listed, and followedSince since when there was no gap of more
+	// than maxListGap.
+	listedAt, followedSince time.Time
 	// unrecorded counts the streams that were noted since the record in the store was written: for a record of
 	// all (true), and of those that began here (false).
 	unrecorded map[bool]int
@@ -53,7 +59,7 @@
 func (b *begunStreams) setMemory(memory time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.streams.Memory, b.own.Memory, b.versions.Memory = memory, memory, memory
+	b.streams.Memory, b.own.Memory, b.versions.Memory = memory, memory, memory+maxListGap
 	b.near.Memory, b.far.Memory = memory, memory
 }
 
@@ -82,6 +88,22 @@
 	}
 }
 
+// noteListed notes as of when the servers were listed.
+func (b *begunStreams) noteListed(at time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if at.Sub(b.listedAt) > maxListGap {
+		b.followedSince = at
+	}
+	b.listedAt = at
+}
+
+// knowsGone reports whether the versions that were not seen within the memory are gone: a daemon that missed a
+// list may have missed that servers of a version came back.
+func (b *begunStreams) knowsGone(now time.Time) bool {
+	return now.Sub(b.listedAt) <= maxListGap && now.Sub(b.followedSince) >= b.versions.Memory
+}
+
 // noteRecord notes the record of the versions of a service and reports whether it is newer than the one that was
 // known. Versions that it adds count as seen now: this daemon may have missed their servers.
 func (b *begunStreams) noteRecord(now time.Time, service string, r origin.Record) bool {
@@ -127,7 +149,7 @@
 }
 
 // versionsToRecord returns the records that lack a version of a listed server. With removal, they also keep the
-// versions that a service had until lately, and no others.
+// versions that a service had until lately, and no others, if it is known that those are gone.
 func (b *begunStreams) versionsToRecord(now time.Time, removal bool) map[string]versionsToRecord {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -135,7 +157,7 @@
 	for _, service := range b.versions.Services() {
 		record := b.records.Of(service)
 		next := slices.Clone(b.present[service])
-		if removal {
+		if removal && b.knowsGone(now) {
 			next = append(next, b.versions.Of(now, service)...)
 		} else {
 			next = append(next, record.Versions...)
--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -187,6 +187,7 @@
 	// one without a version, whose sender has not read the configuration.
 	if supplied := m.Repeated || m.Complete && !first; !supplied && m.Version > 0 && c.index != nil && c.index.Version >= m.Version {
 		c.g.storeReadAt.Store(&now)
+		c.g.begun.noteListed(now)
 	}
 }
 
--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -205,7 +205,10 @@
 		g.offerConfiguration(document.Value, "Store")
 	}
 	g.storeReadAt.Store(&began)
-	g.post((*control).confirmListing)
+	g.post(func(c *control) {
+		g.begun.noteListed(began)
+		c.confirmListing()
+	})
 	return nil
 }
 
