gateway: a daemon's part of the retries rises only some time after others have left the list

What callers would see: after an outage of the store in which the entries of the daemons lapsed, servers that fail get more repeats than the burst that all daemons may use together (BUDGET).

Cause: the burst is divided by the number of listed daemons. One without an entry was taken for one that no longer retries. After such an outage the list is empty until all have registered again, and each daemon takes the whole burst.

Change: the part rises when as many daemons were not listed for the length of the window in which retries are counted. It falls at once when more are listed.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -88,8 +88,11 @@
 	unreadable map[string]int64
 	// registeredDaemons holds the daemons that have an entry in the store.
 	registeredDaemons map[string]Daemon
-	peers             map[string]*peerState
-	topology          topology
+	// retrying is the number of daemons that share the burst of retries, and retryingAt when as many were listed.
+	retrying   int
+	retryingAt time.Time
+	peers      map[string]*peerState
+	topology   topology
 	// serversListed means that the store's list of servers was read at least once, by this
 	// daemon or by a peer that sent it. entries holds the entries as of asOf, by key.
 	serversListed bool
@@ -252,7 +255,7 @@
 	c.g.quotas.SetPeers(now, ids)
 	c.g.quotaMu.Unlock()
 	c.g.dispatcher.PreferPlace(c.topology.ByPlace)
-	c.limitRetries()
+	c.limitRetries(now)
 }
 
 // handleStatus records the status of a peer.
@@ -297,6 +300,9 @@
 	}
 	c.g.begun.noteServers(now, c)
 	c.judgeRollouts(now)
+	if c.daemonsListed {
+		c.limitRetries(now)
+	}
 	if c.rates.Expire(now) {
 		c.changed = true
 	}
--- a/internal/gateway/retries.go
+++ b/internal/gateway/retries.go
@@ -1,10 +1,16 @@
 package gateway
 
+import "time"
+
 // limitRetries sets this daemon's retry budget: a share of its own requests, and an equal
-// part of the burst that all daemons may use.
-func (c *control) limitRetries() {
+// part of the burst that all daemons may use. The part rises RetryWindow after others have left the
+// list: the entries of daemons that still retry may have lapsed, and the burst is that of a window.
+func (c *control) limitRetries(now time.Time) {
 	b := c.g.Bounds
-	c.g.dispatcher.SetRetryBudget(b.RetryShare*retryBudgetShare, retryBurst(b.RetryBurst, len(c.registeredDaemons)))
+	if listed := len(c.registeredDaemons); listed >= c.retrying || now.Sub(c.retryingAt) > b.RetryWindow {
+		c.retrying, c.retryingAt = listed, now
+	}
+	c.g.dispatcher.SetRetryBudget(b.RetryShare*retryBudgetShare, retryBurst(b.RetryBurst, c.retrying))
 }
 
 const (
