--- a/internal/gateway/begun.go
+++ b/internal/gateway/begun.go
@@ -18,6 +18,9 @@
 	// maxBegunStreams bounds the streams that are remembered; a place of the largest deployment begins
 	// about 600 a second.
 	maxBegunStreams = 1 << 17
+	// maxListGap is the longest time between two lists of servers in which a daemon follows them. They are read
+	// every 0.7 to 1.3 s. A version whose servers came and left in between was seen by others only.
+	maxListGap = 2 * time.Second
 )
 
 // begunStreams is what this daemon knows of the versions at which streams began.
@@ -29,9 +32,9 @@
 	present map[string][]string
 	// own has those of streams that began at this daemon.
 	own origin.Set
-	// near and far hold the streams that were not yet sent to peers in this place and in other places.
-	// Where all daemons are linked, far is not used.
-	near, far []origin.Stream
+	// near and far hold the streams for peers in this place and in other places. Where all daemons are linked,
+	// far is not used.
+	near, far origin.Log
 	// startedAt is when this daemon started, and suppliedAt when a peer sent all streams that it knew; zero
 	// means not yet.
 	startedAt, suppliedAt time.Time
@@ -40,6 +43,9 @@
 	// era is the latest era of the store, and restoredAt when it was noted, unless it is the first.
 	era        int64
 	restoredAt time.Time
+	// listedAt is as of when the servers were last listed, and followedSince since when there was no gap of more
+	// than maxListGap.
+	listedAt, followedSince time.Time
 	// unrecorded counts the streams that were noted since the record in the store was written: for a record of
 	// all (true), and of those that began here (false).
 	unrecorded map[bool]int
@@ -48,6 +54,7 @@
 func newBegunStreams(now time.Time) *begunStreams {
 	b := &begunStreams{startedAt: now, unrecorded: map[bool]int{}}
 	b.streams.MostStreams, b.own.MostStreams = maxBegunStreams, maxBegunStreams
+	b.near.MostStreams, b.far.MostStreams = maxBegunStreams, maxBegunStreams
 	b.setMemory(minStreamMemory)
 	return b
 }
@@ -55,7 +62,8 @@
 func (b *begunStreams) setMemory(memory time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.streams.Memory, b.own.Memory, b.versions.Memory = memory, memory, memory
+	b.streams.Memory, b.own.Memory, b.versions.Memory = memory, memory, memory+maxListGap
+	b.near.Memory, b.far.Memory = memory, memory
 }
 
 // streamMemory is how long the version of a stream may be asked for: the stream itself and the caller
@@ -89,6 +97,22 @@
 	}
 }
 
+// noteListed notes as of when the servers were listed.
+func (b *begunStreams) noteListed(at time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if at.Sub(b.listedAt) > maxListGap {
+		b.followedSince = at
+	}
+	b.listedAt = at
+}
+
+// knowsGone reports whether the versions that were not seen within the memory are gone: a daemon that missed a
+// list may have missed that servers of a version came back.
+func (b *begunStreams) knowsGone(now time.Time) bool {
+	return now.Sub(b.listedAt) <= maxListGap && now.Sub(b.followedSince) >= b.versions.Memory
+}
+
 // noteRecord notes the record of the versions of a service and reports whether it is newer than the one that was
 // known. Its versions count as seen now: this daemon may have missed their servers.
 func (b *begunStreams) noteRecord(now time.Time, service string, r origin.Record) bool {
@@ -170,7 +194,8 @@
 }
 
 // versionsToRecord returns the records that lack a version of a listed server or, after a restore of the store, one
-// that a service had until lately. With removal, they keep those versions and no others.
+// that a service had until lately. With removal, they keep those versions and no others, if it is known that the
+// others are gone.
 func (b *begunStreams) versionsToRecord(now time.Time, removal bool) map[string]versionsToRecord {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -178,10 +203,11 @@
 	for _, service := range b.versions.Services() {
 		record := b.records.Of(service)
 		next := slices.Clone(b.present[service])
-		if removal || b.justRestored(now) {
+		removes := removal && b.knowsGone(now)
+		if removes || b.justRestored(now) {
 			next = append(next, b.versions.Of(now, service)...)
 		}
-		if !removal {
+		if !removes {
 			next = append(next, record.Versions...)
 		}
 		slices.Sort(next)
@@ -218,9 +244,9 @@
 	b.own.Note(now, stream, version)
 	b.unrecorded[true]++
 	b.unrecorded[false]++
-	b.near = append(b.near, stream)
+	b.near.Add(now, stream)
 	if forward {
-		b.far = append(b.far, stream)
+		b.far.Add(now, stream)
 	}
 }
 
@@ -239,9 +265,9 @@
 			switch {
 			case !forward:
 			case fromOwnPlace:
-				b.far = append(b.far, stream)
+				b.far.Add(now, stream)
 			default:
-				b.near = append(b.near, stream)
+				b.near.Add(now, stream)
 			}
 		}
 	}
@@ -251,17 +277,31 @@
 func (b *begunStreams) take(now time.Time, scope statusScope) []message.BegunStreams {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	news := &b.near
+	return b.encode(now, b.log(scope).Take(now))
+}
+
+// missed returns the streams that a peer whose link has just opened may have missed: all that were taken for
+// statuses, and those that will be. What was sent on a link shortly before it broke may be lost too.
+func (b *begunStreams) missed(now time.Time, scope statusScope) []message.BegunStreams {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.encode(now, b.log(scope).All(now))
+}
+
+func (b *begunStreams) log(scope statusScope) *origin.Log {
 	if scope == farPeers {
-		news = &b.far
+		return &b.far
 	}
+	return &b.near
+}
+
+func (b *begunStreams) encode(now time.Time, streams []origin.Stream) []message.BegunStreams {
 	byVersion := map[string][]origin.Stream{}
-	for _, stream := range *news {
+	for _, stream := range streams {
 		if version, ok := b.streams.Version(now, stream); ok {
 			byVersion[version] = append(byVersion[version], stream)
 		}
 	}
-	*news = nil
 	return encodeBegun(byVersion)
 }
 
--- a/internal/gateway/sources.go
+++ b/internal/gateway/sources.go
@@ -183,6 +183,7 @@
 // readStore reads the servers' entries and the configuration once. The entries come first and take
 // effect at once: a configuration with many routes takes long to read.
 func (g *Gateway) readStore(ctx context.Context, versions *versionReader) error {
+	began := time.Now() // What is read may be as old, however late the answers are handled.
 	eraBefore := g.Store.Era()
 	entries, revision, err := g.Store.List(ctx, g.Keys.Servers)
 	era := g.Store.Era()
@@ -204,9 +205,11 @@
 	if document.Revision > 0 {
 		g.offerConfiguration(document.Value, "Store")
 	}
-	now := time.Now()
-	g.storeReadAt.Store(&now)
-	g.post((*control).confirmListing)
+	g.storeReadAt.Store(&began)
+	g.post(func(c *control) {
+		g.begun.noteListed(began)
+		c.confirmListing()
+	})
 	return nil
 }
 
@@ -445,7 +448,7 @@
 	var to []string
 	for _, p := range g.hub.Peers() {
 		// Links that the topology no longer has are closed once nothing is sent on them.
-		if v.hasLink(g.Place, p) && (v.byPlace() && p.Place != g.Place) == (scope == farPeers) {
+		if v.hasLink(g.Place, p) && v.scopeOf(g.Place, p) == scope {
 			to = append(to, p.Daemon)
 		}
 	}
