gateway: a daemon is ready once the versions of the listed servers are recorded

Cause: since servers get streams once their version is recorded, some milliseconds after the first listing, but the first listing made the daemon ready.

Change: readiness waits for the records after the start, 2 s at most: requests without streams don't need them.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -34,6 +34,9 @@
 	// refusedResendDelay is the least time between two messages to a peer with all suspects
 	// that this daemon refuses. In between, the news of changes usually arrives.
 	refusedResendDelay = time.Second
+	// maxReadyDelay is how long a daemon that starts waits at most until the versions of all servers are recorded.
+	// After that it serves requests without streams, and streams of the versions that are.
+	maxReadyDelay = 2 * time.Second
 	// prefillTokensPerSecond is the assumed prefill rate of a server. Servers do not
 	// state it; the platform's specification gives 51.1 tokens a millisecond.
 	prefillTokensPerSecond = 50_000
@@ -96,6 +99,8 @@
 	// serversListed means that the store's list of servers was read at least once, by this
 	// daemon or by a peer that sent it. entries holds the entries as of asOf, by key.
 	serversListed bool
+	// firstListedAt is when the servers were first listed.
+	firstListedAt time.Time
 	// listedHere means that this daemon, not a peer, read the latest listing.
 	listedHere bool
 	entries    map[string]message.StoreEntry
@@ -298,6 +303,9 @@
 	for _, change := range c.fleet.Expire(now) {
 		c.serverChanged(change)
 	}
+	if c.serversListed && !c.g.servesStreams.Load() {
+		c.changed = true
+	}
 	c.g.begun.noteServers(now, c)
 	c.judgeRollouts(now)
 	if c.daemonsListed {
@@ -353,9 +361,13 @@
 	v.table.SetShifts(shifts)
 	v.ByPlace, v.Delegate, v.Delegates = c.topology.ByPlace, c.topology.Delegate, c.topology.Delegates
 	c.g.begun.noteServers(now, c)
-	if c.g.begun.lacksRecord() {
+	lacksRecord := c.g.begun.lacksRecord()
+	if lacksRecord {
 		c.g.requestVersionRecord(c.listedHere)
 	}
+	if c.serversListed && (!lacksRecord || now.Sub(c.firstListedAt) > maxReadyDelay) {
+		c.g.servesStreams.Store(true)
+	}
 	c.g.view.Store(v)
 	c.g.evidence.retain(v)
 	c.g.dispatcher.SetTable(now, v.table)
@@ -432,7 +444,7 @@
 // Ready reports whether the daemon can serve requests.
 func (g *Gateway) Ready() bool {
 	v := g.view.Load()
-	return v.Configuration() != nil && v.Members != nil && !g.draining.Load()
+	return v.Configuration() != nil && v.Members != nil && g.servesStreams.Load() && !g.draining.Load()
 }
 
 // Addresses returns the addresses that a caller in a place should use: the daemons in its
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -179,6 +179,9 @@
 	dutyGivenUp    atomic.Uint64
 	peerGaveUpDuty atomic.Pointer[lease.GivenUp]
 
+	// servesStreams means that the versions of the servers were recorded since the start; see maxReadyDelay.
+	servesStreams atomic.Bool
+
 	draining   atomic.Bool
 	drainStart atomic.Pointer[time.Time]
 	// drained ends, by endDrain, when a drain has ended. callersServed is closed when the connections
--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -46,7 +46,7 @@
 	c.listedHere = true
 	first := !c.serversListed
 	if first {
-		c.serversListed, c.changed = true, true
+		c.serversListed, c.changed, c.firstListedAt = true, true, now
 	}
 	list := make([]fleet.Registration, 0, len(entries))
 	previous := c.entries
@@ -161,7 +161,7 @@
 	first := m.Complete && !c.serversListed
 	if first {
 		c.g.Log.Info("servers listed", "Source", from.Daemon, "Revision", m.Revision, "Servers", len(m.Changes))
-		c.serversListed, c.changed = true, true
+		c.serversListed, c.changed, c.firstListedAt = true, true, now
 	}
 	moment := storeMoment{m.Era, m.Revision}
 	if c.noteEra(now, m.Era) && m.Complete && c.asOf.before(moment) {
--- a/internal/gateway/records_test.go
+++ b/internal/gateway/records_test.go
@@ -241,3 +241,29 @@
 		}
 	}
 }
+
+// TestReadyDaemonServesStreams guards against refusing streams at a daemon that says that it is ready, and against waiting for the store for good.
+func TestReadyDaemonServesStreams(t *testing.T) {
+	for _, written := range []bool{true, false} {
+		t.Run(fmt.Sprint("versions can be recorded: ", written), func(t *testing.T) {
+			t.Parallel()
+			env := newTestEnv(t)
+			env.addVersion("s1", "model", "v1", breakingStream())
+			isolated := &isolatedStore{store: env.store}
+			isolated.refuse(versionPrefix)
+			env.gatewayStore = isolated
+			gw := env.start("g1")
+			waitFor(t, "the servers are listed", func() bool { return gw.view.Load() != nil && gw.accepting("s1") })
+			if gw.Ready() {
+				t.Error("ready before the version is recorded")
+			}
+			if written {
+				isolated.refuse("")
+			}
+			waitFor(t, "the daemon is ready", gw.Ready)
+			if written {
+				gw.begin(t, "began")
+			}
+		})
+	}
+}
