quarantine: fingerprints of a body are taken without a copy of it

Cause: gateway and entry copied each body to put its path in front of it, to hash both. The copy was as large as the body and counted by no budget.

Change: FingerprintOf takes parts. The value is the same, so that daemons of two versions agree (TestFingerprintOfPartsIsThatOfTheWhole).

--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -80,10 +80,9 @@
 	call         service.Call
 }
 
-// fingerprintInput returns the bytes that distinguish this call from others of its
-// service.
-func (q plainCall) fingerprintInput() []byte {
-	return append([]byte(q.call.Method+" "+q.call.Path+"\n"+q.key+"\n"), q.call.Body...)
+// fingerprint distinguishes this call from others.
+func (q plainCall) fingerprint() quarantine.Fingerprint {
+	return quarantine.FingerprintOf(q.organisation, q.service.Name, []byte(q.call.Method+" "+q.call.Path+"\n"+q.key+"\n"), q.call.Body)
 }
 
 // repeatable reports whether a call may be sent again after it may have run: safe
@@ -116,7 +115,7 @@
 			RequestID: q.id, Service: q.service.Name, Rank: q.rank, Place: d.Settings.Place,
 			Region: d.Settings.Region, Plain: true,
 		},
-		Fingerprint: quarantine.FingerprintOf(q.organisation, q.service.Name, q.fingerprintInput()),
+		Fingerprint: q.fingerprint(),
 	}
 	if p := d.dispatcher.Submit(time.Now(), w); p != nil {
 		return nil, p
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -335,7 +335,7 @@
 			Parts: s.call.Parts, PromptTokens: s.call.PromptTokens, ExpectedTokens: s.call.expectedOutputTokens(), Plain: !s.engine,
 			Version: s.version, RequiresRecord: s.route.Stream,
 		},
-		Fingerprint: quarantine.FingerprintOf(s.organisation(), s.service, append([]byte(s.r.RequestURI+"\n"), s.body...)),
+		Fingerprint: quarantine.FingerprintOf(s.organisation(), s.service, []byte(s.r.RequestURI+"\n"), s.body),
 	}
 	w.Suspects = []quarantine.Suspect{{Fingerprint: w.Fingerprint}}
 	for _, part := range s.call.SharedParts {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -32,8 +32,9 @@
 type Fingerprint uint64
 
 // FingerprintOf returns the fingerprint of a request. It hashes the lengths as well, so
-// that different organisations and services never concatenate to equal bytes.
-func FingerprintOf(organisation, service string, body []byte) Fingerprint {
+// that different organisations and services never concatenate to equal bytes. Parts of a body
+// give the fingerprint of the whole, without a copy.
+func FingerprintOf(organisation, service string, parts ...[]byte) Fingerprint {
 	d := xxhash.New()
 	var length [8]byte
 	for _, part := range []string{organisation, service} {
@@ -41,7 +42,9 @@
 		_, _ = d.Write(length[:])
 		_, _ = d.WriteString(part)
 	}
-	_, _ = d.Write(body)
+	for _, part := range parts {
+		_, _ = d.Write(part)
+	}
 	return Fingerprint(d.Sum64())
 }
 
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -116,3 +116,9 @@
 		t.Error("two organisations share a fingerprint")
 	}
 }
+
+func TestFingerprintOfPartsIsThatOfTheWhole(t *testing.T) {
+	if FingerprintOf("o", "s", []byte("/a\n"), []byte("body")) != FingerprintOf("o", "s", []byte("/a\nbody")) {
+		t.Error("daemons that hash parts and whole bodies disagree")
+	}
+}
