intake: the buffers of bodies are counted until they are collected

Cause: a body was counted until its request ended or its connection was given up. Its buffer was still in memory then, and with the smaller ones that it had grown from it was garbage that no bound covered but the goal of the collector. With little processor time the collector passes its goal.

Change: a Gate counts the buffers of its bodies until they are collected, up to twice what may be held. At this bound a body first has garbage collected, and is refused with 503 if the memory is still in use after a second. A body that grows is counted with its next buffer before that is allocated. ReadBody has a file of its own.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -15,8 +15,6 @@
 	"sync"
 	"time"
 
-	"github.com/juju/errors"
-
 	"apricotbridge/internal/budget"
 )
 
@@ -54,8 +52,9 @@
 	// the last call. It must not block, and may be nil.
 	OnClosed func(source, reason string, closed int64)
 
-	held budget.Budget
-	news closedNews
+	held    budget.Budget
+	buffers buffers
+	news    closedNews
 
 	mu          sync.Mutex
 	connections map[*Connection]struct{}
@@ -366,54 +365,3 @@
 	c.mu.Unlock()
 	return c.gate.held.Set(&c.holder, held, c.gate.maxBytes())
 }
-
-// ErrTooLarge means that a body exceeds its limit.
-const ErrTooLarge = errors.ConstError("body too large")
-
-const (
-	// firstBodyBuffer is the capacity for a body whose length is not known, and maxBodyBuffer that for one
-	// before it has arrived.
-	firstBodyBuffer = 512
-	maxBodyBuffer   = 64 << 10
-)
-
-// ReadBody reads a body of at most limit bytes and counts it as it arrives. announced is its length, or
-// -1 if it is not known.
-func (c *Connection) ReadBody(read func([]byte) (int, error), announced, limit int64) ([]byte, error) {
-	if announced > limit {
-		return nil, ErrTooLarge
-	}
-	size := min(announced+1, maxBodyBuffer) // One more byte, to read the end without growing.
-	if announced < 0 {
-		size = firstBodyBuffer
-	}
-	body := make([]byte, 0, size)
-	for {
-		if len(body) == cap(body) {
-			body = grow(body, announced, limit)
-		}
-		// Growing copies, so that up to twice the capacity is in use for a moment.
-		if err := c.HoldBody(int64(cap(body))); err != nil {
-			return nil, err
-		}
-		n, err := read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		switch {
-		case int64(len(body)) > limit:
-			return nil, ErrTooLarge
-		case err != nil:
-			return body, err
-		}
-	}
-}
-
-// grow doubles the capacity of a body, up to what it can need.
-func grow(body []byte, announced, limit int64) []byte {
-	need := limit + 1
-	if announced >= 0 {
-		need = announced + 1
-	}
-	larger := make([]byte, len(body), min(2*int64(cap(body)), max(need, int64(len(body))+1)))
-	copy(larger, body)
-	return larger
-}
