--- a/internal/gateway/measures.go
+++ b/internal/gateway/measures.go
@@ -98,6 +98,7 @@
 		fmt.Fprintf(w, "%s{door=%q} %d\n", name("intake.held.bytes"), door, u.Memory.Held)
 		fmt.Fprintf(w, "%s{door=%q} %d\n", name("intake.held.most.bytes"), door, u.Memory.Most)
 		fmt.Fprintf(w, "%s{door=%q} %d\n", name("intake.given.up"), door, u.Memory.GivenUp)
+		fmt.Fprintf(w, "%s{door=%q} %d\n", name("intake.buffers.bytes"), door, u.Buffers)
 	}
 	if v := g.view.Load(); v != nil {
 		for service, r := range v.rollouts {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -103,13 +103,15 @@
 	// Connections is the number of open ones, and Closed how many were closed because there were too
 	// many.
 	Connections, Closed int64
+	// Buffers is the size of the buffers of bodies that are in use or not collected.
+	Buffers int64
 }
 
 // Usage returns the present usage.
 func (g *Gate) Usage() Usage {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return Usage{g.held.Usage(), int64(len(g.connections)), g.closed}
+	return Usage{g.held.Usage(), int64(len(g.connections)), g.closed, g.buffers.bytes.Load()}
 }
 
 // Connection is a client's connection.
