--- a/internal/gateway/takeup.go
+++ b/internal/gateway/takeup.go
@@ -32,9 +32,9 @@
 	// versionCheckTimeout bounds the read of the records for streams that are not known. The store answers in 4 ms,
 	// and is up to 12 ms away (platform specification); beyond this time another daemon answers sooner.
 	versionCheckTimeout = 500 * time.Millisecond
-	// versionCheckInterval, for each of the daemons, is the least time between two such reads at a daemon, and
-	// minVersionCheckInterval bounds it from below. After the loss of a place all daemons may read at the same time:
-	// 300 then make 2,000 reads a second.
+	// versionCheckInterval times the number of daemons is the least time between two such reads at a daemon, but
+	// not less than minVersionCheckInterval. After the loss of a place all daemons may read at the same time, and
+	// make up to 2,000 reads a second together.
 	versionCheckInterval    = 500 * time.Microsecond
 	minVersionCheckInterval = 20 * time.Millisecond
 )
