gateway: a test isolates a daemon only once it has read the list of all daemons

The test ends the links of a daemon while the list of daemons from the store may still be on its way; the list then makes the daemon open its links again, as it should.

Change: the test waits for the list. No check or bound changes.

The test came with; the product is not involved.

--- a/internal/gateway/missed_begun_test.go
+++ b/internal/gateway/missed_begun_test.go
@@ -59,6 +59,13 @@
 	}
 }
 
+// listedDaemons returns how many daemons the list has that the daemon read from the store.
+func (gw *testGateway) listedDaemons() int {
+	n := make(chan int, 1)
+	gw.post(func(c *control) { n <- len(c.registeredDaemons) })
+	return <-n
+}
+
 // TestStreamsThatBeganWhileALinkWasDownAreTakenUp guards against refusing streams long after their daemons are linked again.
 func TestStreamsThatBeganWhileALinkWasDownAreTakenUp(t *testing.T) {
 	for _, c := range []struct {
@@ -91,6 +98,8 @@
 				waitFor(t, gw.Daemon+" uses both versions", func() bool { return gw.begun.isRecorded("model", "v1") && gw.begun.isRecorded("model", "v2") })
 			}
 			waitFor(t, "the daemons are linked", linked)
+			// A later list of daemons would make the daemon open its links again.
+			waitFor(t, "all daemons are listed", func() bool { return last.listedDaemons() == len(gateways) })
 			isolate(last, listeners)
 			waitFor(t, "one daemon has no links", func() bool { return len(last.hub.Peers()) == 0 })
 			waitFor(t, "the others have links", func() bool {
