review: show that leaving servers get requests after an outage of the store

A registration that ends up to four seconds after a failed read is kept for two seconds more, so that requests reach its server later than the bound.

--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -46,6 +46,7 @@
 }
 
 var cases = map[string]func(*config) (bool, error){
+	"drain": runDrain,
 	"twice": runTwice,
 }
 
