review: show streams of two versions after a server was upgraded in place

Until its first heartbeat is read, a server that came back with a new version gets streams that count as streams of the version before, and are sent on to servers of that.

--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -47,6 +47,7 @@
 
 var cases = map[string]func(*config) (bool, error){
 	"drain": runDrain,
+	"order": runOrder,
 	"path":  runPath,
 	"twice": runTwice,
 }
--- a/review/stand2/server.go
+++ b/review/stand2/server.go
@@ -29,10 +29,29 @@
 	// accepting is unset while the server is too busy to accept connections.
 	accepting atomic.Bool
 	sequence  atomic.Int64
-	silent    atomic.Bool // Writes no heartbeats.
 	stopped   chan struct{}
-	once      sync.Once
-	handle    func(w http.ResponseWriter, r *http.Request)
+	once      *sync.Once
+	// registerAfter is how long after its start a server writes its entry, with its first heartbeat.
+	registerAfter time.Duration
+	handle        func(w http.ResponseWriter, r *http.Request)
+
+	mu   sync.Mutex
+	held map[net.Conn]bool
+}
+
+// hold closes a hijacked connection with the server, until the returned function is called.
+func (s *server) hold(c net.Conn) func() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.held == nil {
+		s.held = map[net.Conn]bool{}
+	}
+	s.held[c] = true
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.held, c)
+	}
 }
 
 // listenWithQueue listens on a free loopback port with a short queue of new connections. The kernel drops the
@@ -70,36 +89,44 @@
 // start listens and registers. The queue is that of new connections, 0 means the default.
 func (s *server) start(queue int) error {
 	var err error
-	if queue > 0 {
+	switch {
+	case queue > 0:
 		s.listener, err = listenWithQueue(queue)
-	} else {
+	case s.address != "": // It starts again at its address.
+		s.listener, err = net.Listen("tcp", s.address)
+	default:
 		s.listener, err = net.Listen("tcp", "127.0.0.1:0")
 	}
 	if err != nil {
 		return err
 	}
-	s.address, s.born, s.stopped = s.listener.Addr().String(), time.Now().UnixMilli(), make(chan struct{})
+	s.address, s.born, s.stopped, s.once = s.listener.Addr().String(), time.Now().UnixMilli(), make(chan struct{}), &sync.Once{}
 	s.accepting.Store(true)
 	s.http = &http.Server{Handler: http.HandlerFunc(s.serve), IdleTimeout: 20 * time.Second}
 	go func() { _ = s.http.Serve(busyListener{s.listener, s}) }() // Ends with the server.
-	s.register("ready")
-	go func() {
-		t := time.NewTicker(heartbeat)
-		defer t.Stop()
-		for {
-			select {
-			case <-t.C:
-				if !s.silent.Load() {
-					s.register("ready")
-				}
-			case <-s.stopped:
-				return
-			}
-		}
-	}()
+	if s.registerAfter == 0 {
+		s.register("ready")
+	}
+	go s.heartbeats(s.stopped)
 	return nil
 }
 
+func (s *server) heartbeats(stopped chan struct{}) {
+	wait := s.registerAfter
+	if wait == 0 {
+		wait = heartbeat
+	}
+	for {
+		select {
+		case <-time.After(wait):
+			s.register("ready")
+			wait = heartbeat
+		case <-stopped:
+			return
+		}
+	}
+}
+
 func (s *server) register(state string) {
 	entry := map[string]any{
 		"backend": s.service, "address": s.address, "zone": s.zone, "version": s.version, "capacity": s.capacity, "state": state,
@@ -122,6 +149,11 @@
 func (s *server) exit() {
 	s.once.Do(func() { close(s.stopped) })
 	_ = s.http.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.held {
+		_ = c.Close()
+	}
 }
 
 func (s *server) serve(w http.ResponseWriter, r *http.Request) {
--- a/review/stand2/twice.go
+++ b/review/stand2/twice.go
@@ -125,6 +125,25 @@
 	}
 }
 
+// streamConfiguration has a route of streams that may be resumed, like the first kind of request of the site.
+func streamConfiguration() map[string]any {
+	return map[string]any{
+		"version": 1,
+		"routes": []any{map[string]any{
+			"name": "draft", "hostname": "h.example", "prefix": "/draft/", "type": "streaming", "timeoutMs": 12000, "targetLatencyMs": 1000, "priority": 1,
+			"backend": "llm", "maxAttempts": 2, "public": false, "sessionAffinity": true, "streamResumption": true, "targetGapMs": 300,
+		}},
+		"services": []any{map[string]any{
+			"name": "llm", "healthCheckPath": "/healthz", "maxConnections": 360, "protocol": "h1", "tls": false,
+			"engine": map[string]any{"capacity": 64, "kvCapacityTokens": 631747},
+		}},
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"tenants": []any{map[string]any{
+			"name": "t1", "apiKeys": []string{"key-1"}, "priority": 1, "unit": "token", "uncachedTokens": 200, "ratePerS": 4000000, "burst": 4000000,
+		}},
+	}
+}
+
 // runTwice plays the case.
 func runTwice(c *config) (broken bool, err error) {
 	e := &engines{rec: c.rec, runs: map[string][]*run{}, resting: map[*run]time.Time{}}
@@ -138,16 +157,7 @@
 		defer s.exit()
 		servers = append(servers, s)
 	}
-	c.store.put("op/config", map[string]any{
-		"version": 1,
-		"routes": []any{map[string]any{
-			"name": "draft", "hostname": "h.example", "prefix": "/draft/", "type": "streaming", "timeoutMs": 12000, "targetLatencyMs": 1000, "priority": 1,
-			"backend": "llm", "maxAttempts": 2, "public": false, "sessionAffinity": true, "streamResumption": true, "targetGapMs": 300,
-		}},
-		"services": []any{map[string]any{"name": "llm", "healthCheckPath": "/healthz", "maxConnections": 360, "protocol": "h1", "tls": false, "engine": map[string]any{"capacity": 64, "kvCapacityTokens": 631747}}},
-		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants":  []any{map[string]any{"name": "t1", "apiKeys": []string{"key-1"}, "priority": 1, "unit": "token", "uncachedTokens": 200, "ratePerS": 4000000, "burst": 4000000}},
-	})
+	c.store.put("op/config", streamConfiguration())
 	if err := c.startGateways("kuressaare", "orissaare"); err != nil {
 		return false, err
 	}
@@ -207,13 +217,11 @@
 	DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, MaxIdleConnsPerHost: 200, IdleConnTimeout: 10 * time.Second, DisableCompression: true,
 }}
 
-// readStream sends a request and reads its events.
-func readStream(ctx context.Context, address, id string, n int) error {
-	ctx, cancel := context.WithTimeout(ctx, 12*time.Second)
-	defer cancel()
+// openStream sends a request and returns its answer, which has status 200.
+func openStream(ctx context.Context, address, id string, n int) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/draft/2f", strings.NewReader(strings.Repeat("x", 600)))
 	if err != nil {
-		return err
+		return nil, err
 	}
 	req.Host = "h.example"
 	for name, value := range map[string]string{
@@ -224,13 +232,25 @@
 	}
 	res, err := streamClient.Do(req)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	defer func() { _ = res.Body.Close() }()
 	if res.StatusCode != http.StatusOK {
 		body, _ := io.ReadAll(res.Body) // For the record only.
-		return fmt.Errorf("status %d %.200s", res.StatusCode, body)
+		_ = res.Body.Close()
+		return nil, fmt.Errorf("status %d %.200s", res.StatusCode, body)
+	}
+	return res, nil
+}
+
+// readStream sends a request and reads its events.
+func readStream(ctx context.Context, address, id string, n int) error {
+	ctx, cancel := context.WithTimeout(ctx, 12*time.Second)
+	defer cancel()
+	res, err := openStream(ctx, address, id, n)
+	if err != nil {
+		return err
 	}
+	defer func() { _ = res.Body.Close() }()
 	last := 0
 	lines := bufio.NewScanner(res.Body)
 	for lines.Scan() {
