review: show that a stream cut off by a crash is passed on as complete

An answer without a length counts as complete if its server accepts connections when the end is read, which a later start of it does after the gateway has stood still. Case 10 shows it with a script.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,4 @@
+#!/bin/bash
+# Plays case 10: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+exec target/review-2/stand2 -dir review/10 whole
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -50,6 +50,7 @@
 	"order": runOrder,
 	"path":  runPath,
 	"twice": runTwice,
+	"whole": runWhole,
 }
 
 func main() {
