--- a/review/stand2/order.go
+++ b/review/stand2/order.go
@@ -14,6 +14,9 @@
 	"time"
 )
 
+// restartTime is how long a server is down that starts again.
+const restartTime = 300 * time.Millisecond
+
 // versioned is a server that is upgraded in place.
 type versioned struct {
 	*server
@@ -111,23 +114,24 @@
 			})
 		}
 	})
-	if c.trouble {
-		// Two rounds: the first two servers get the new version in place, one after the other. It crashes on each
-		// after some seconds, and the old one is put back.
-		for range 4 {
-			for _, v := range servers[:2] {
-				if err := v.restart("v2", 300*time.Millisecond); err != nil {
-					return false, err
-				}
-				time.Sleep(3 * time.Second)
-				if err := v.restart("v1", 300*time.Millisecond); err != nil {
-					return false, err
+	// Four rounds: the first two servers get the new version in place, one after the other. It crashes on each
+	// after some seconds, and the old one is put back.
+	for range 4 {
+		for _, v := range servers[:2] {
+			for _, step := range []struct {
+				version string
+				runs    time.Duration
+			}{{"v2", 3 * time.Second}, {"v1", 4 * time.Second}} {
+				if c.trouble {
+					if err := v.restart(step.version, restartTime); err != nil {
+						return false, err
+					}
+				} else {
+					time.Sleep(restartTime)
 				}
-				time.Sleep(4 * time.Second)
+				time.Sleep(step.runs)
 			}
 		}
-	} else {
-		time.Sleep(20 * time.Second)
 	}
 	stop()
 	wg.Wait()
--- a/review/stand2/whole.go
+++ b/review/stand2/whole.go
@@ -99,6 +99,7 @@
 	for round := range 4 {
 		time.Sleep(5 * time.Second)
 		if !c.trouble {
+			time.Sleep(frozenFor)
 			continue
 		}
 		frozen, crashed := c.gateways[round%len(c.gateways)], servers[round%len(servers)]
