--- a/review/stand2/gateway.go
+++ b/review/stand2/gateway.go
@@ -27,6 +27,12 @@
 	storeAddress string
 }
 
+// loopback returns a loopback address that no other run uses at the same time.
+func loopback(last int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 64+pid%128, 1+pid/128%250, last)
+}
+
 // freePorts returns n consecutive free ports on a host.
 func freePorts(host string, n int) (int, error) {
 	for range 100 {
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -28,7 +28,7 @@
 		if err != nil {
 			return err
 		}
-		g, err := newGateway(c.binary, c.temp, fmt.Sprintf("edge-%s-%d", zone, i+1), zone, fmt.Sprintf("127.0.0.%d", i+11), front, c.cloud)
+		g, err := newGateway(c.binary, c.temp, fmt.Sprintf("edge-%s-%d", zone, i+1), zone, loopback(i+11), front, c.cloud)
 		if err != nil {
 			return err
 		}
--- a/review/stand2/server.go
+++ b/review/stand2/server.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"strconv"
 	"strings"
@@ -63,7 +64,7 @@
 	}
 	f := os.NewFile(uintptr(fd), "listener")
 	defer func() { _ = f.Close() }() // FileListener has a copy.
-	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: netip.MustParseAddr(loopback(1)).As4()}); err != nil {
 		return nil, err
 	}
 	if err := syscall.Listen(fd, queue); err != nil {
@@ -95,7 +96,7 @@
 	case s.address != "": // It starts again at its address.
 		s.listener, err = net.Listen("tcp", s.address)
 	default:
-		s.listener, err = net.Listen("tcp", "127.0.0.1:0")
+		s.listener, err = net.Listen("tcp", net.JoinHostPort(loopback(1), "0"))
 	}
 	if err != nil {
 		return err
--- a/review/stand2/store.go
+++ b/review/stand2/store.go
@@ -43,7 +43,7 @@
 }
 
 func newStore() (*store, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", net.JoinHostPort(loopback(1), "0"))
 	if err != nil {
 		return nil, err
 	}
@@ -76,7 +76,7 @@
 
 // front returns a further address of the store, so that the machine can be told that calls it.
 func (s *store) front() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", net.JoinHostPort(loopback(1), "0"))
 	if err != nil {
 		return "", err
 	}
